--- /dev/null
+++ b/internal/answer/answer.go
@@ -0,0 +1,178 @@
+// Package answer defines the answers that citronvane itself gives to callers,
+// as opposed to the answers of targets. The claim that a request did not run is
+// part of the kind, so that no call site can state it by mistake.
+package answer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Header names the kind of an answer that is not the target's own.
+const Header = "Citronvane-Answer"
+
+// NotRunHeader is set by a target that refuses a request without running it.
+const NotRunHeader = "Citronvane-Not-Run"
+
+// Kind names an answer.
+type Kind string
+
+// The kinds of answer. The table kinds below says what each one means.
+const (
+	NoRule           Kind = "no_rule"
+	BadRequest       Kind = "bad_request"
+	TooLarge         Kind = "too_large"
+	IdentityRequired Kind = "identity_required"
+	NoOwner          Kind = "no_owner"
+	NotOwner         Kind = "not_owner"
+	Moving           Kind = "moving"
+	LeaseLapsed      Kind = "lease_lapsed"
+	Shed             Kind = "shed"
+	Cold             Kind = "cold"
+	Draining         Kind = "draining"
+	ZoneOut          Kind = "zone_out"
+	Quarantined      Kind = "quarantined"
+	TargetRefused    Kind = "target_refused"
+	TargetDown       Kind = "target_down"
+	Deadline         Kind = "deadline"
+	OutcomeUnknown   Kind = "outcome_unknown"
+	DeadlineRunning  Kind = "deadline_running"
+	RepeatRunning    Kind = "repeat_running"
+	RepeatUnknown    Kind = "repeat_unknown"
+)
+
+// Properties describes a kind of answer.
+type Properties struct {
+	Status int
+	// NotRun is the claim that no target ran the request.
+	NotRun bool
+	// Retry says that the entrance may try another time or node before it answers the caller.
+	Retry  bool
+	Title  string
+	Remedy string
+}
+
+var kinds = map[Kind]Properties{
+	NoRule:           {404, true, false, "No rule matches the request.", "Check the path, or ask the operator to add a rule."},
+	BadRequest:       {400, true, false, "The request is malformed.", "Correct the request as the detail says."},
+	TooLarge:         {413, true, false, "The request exceeds a size bound.", "Send a smaller request."},
+	IdentityRequired: {428, true, false, "A non-idempotent request needs an identity.", "Send an Idempotency-Key header that is unique to this request."},
+	NoOwner:          {503, true, true, "The key has no live owner.", "Try again after the stated time."},
+	NotOwner:         {503, true, true, "The key has another owner.", "Try again after the stated time."},
+	Moving:           {503, true, true, "The key is being handed over.", "Try again after the stated time."},
+	LeaseLapsed:      {503, true, true, "The owner of the key has lost its lease.", "Try again after the stated time."},
+	Shed:             {503, true, false, "The target is overloaded.", "Try again after the stated time."},
+	Cold:             {503, true, false, "The target is in cold start.", "Try again after the stated time."},
+	Draining:         {503, true, true, "The node or target is leaving.", "Try again after the stated time."},
+	ZoneOut:          {503, true, true, "The availability zone is out of service.", "Try again after the stated time."},
+	Quarantined:      {422, true, false, "Earlier copies of this request crashed targets.", "Do not send this request again; report it to the operator."},
+	TargetRefused:    {503, true, true, "The target refused the request without running it.", "Try again after the stated time."},
+	TargetDown:       {503, true, true, "The target can't be reached.", "Try again after the stated time."},
+	Deadline:         {504, true, false, "The deadline passed before the request ran.", "Try again with a longer deadline."},
+	OutcomeUnknown:   {502, false, false, "The request may have run.", "Read the state of the key before sending the request again; keep its Idempotency-Key."},
+	DeadlineRunning:  {504, false, false, "The deadline passed while the request ran.", "Read the state of the key before sending the request again; keep its Idempotency-Key."},
+	RepeatRunning:    {409, false, false, "A request with this identity is still running.", "Wait, then repeat with the same Idempotency-Key to get its answer."},
+	RepeatUnknown:    {409, false, false, "A request with this identity may have run before.", "Read the state of the key. If this request was never sent before, get a token and use it as the Idempotency-Key."},
+}
+
+// Of returns the properties of a kind, and whether the kind exists.
+func Of(kind Kind) (Properties, bool) {
+	p, ok := kinds[kind]
+	return p, ok
+}
+
+// Kinds returns all kinds with their properties.
+func Kinds() map[Kind]Properties { return kinds }
+
+// Refusal is an answer of citronvane in place of a target's.
+type Refusal struct {
+	Kind       Kind
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// Refuse returns a refusal with a formatted detail.
+func Refuse(kind Kind, format string, args ...any) *Refusal {
+	return &Refusal{Kind: kind, Detail: fmt.Sprintf(format, args...)}
+}
+
+// After sets the time after which the caller may try again.
+func (r *Refusal) After(d time.Duration) *Refusal {
+	r.RetryAfter = d
+	return r
+}
+
+// Error returns the kind and the detail.
+func (r *Refusal) Error() string { return string(r.Kind) + ": " + r.Detail }
+
+// As returns the refusal in the chain of err, or nil.
+func As(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return nil
+}
+
+// Problem is the JSON body of a refusal, after RFC 9457.
+type Problem struct {
+	Type         string `json:"type"`
+	Title        string `json:"title"`
+	Status       int    `json:"status"`
+	Kind         Kind   `json:"kind"`
+	NotRun       bool   `json:"not_run"`
+	Detail       string `json:"detail,omitempty"`
+	Remedy       string `json:"remedy"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+// Problem returns the body of the refusal.
+func (r *Refusal) Problem() Problem {
+	p := kinds[r.Kind]
+	return Problem{
+		Type:         "about:blank",
+		Title:        p.Title,
+		Status:       p.Status,
+		Kind:         r.Kind,
+		NotRun:       p.NotRun,
+		Detail:       r.Detail,
+		Remedy:       p.Remedy,
+		RetryAfterMS: r.RetryAfter.Milliseconds(),
+	}
+}
+
+// Body returns the encoded problem.
+func (r *Refusal) Body() []byte {
+	body, err := json.Marshal(r.Problem())
+	if err != nil {
+		panic("answer: a problem can't be encoded: " + err.Error())
+	}
+	return body
+}
+
+// Headers returns the headers of the refusal.
+func (r *Refusal) Headers() http.Header {
+	h := http.Header{}
+	h.Set(Header, string(r.Kind))
+	h.Set("Content-Type", "application/problem+json")
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	return h
+}
+
+// Write writes the refusal as an HTTP answer.
+func (r *Refusal) Write(w http.ResponseWriter) {
+	for name, values := range r.Headers() {
+		w.Header()[name] = values
+	}
+	body := r.Body()
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(kinds[r.Kind].Status)
+	_, _ = w.Write(body) // A caller that is gone needs no answer.
+}
