--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"github.com/citronvane/citronvane/internal/clock"
@@ -40,17 +41,34 @@
 // Table publishes snapshots.
 type Table struct {
 	current atomic.Pointer[Snapshot]
+
+	mu      sync.Mutex
+	changed chan struct{}
 }
 
 // NewTable returns a table with an empty snapshot.
 func NewTable() *Table {
-	t := &Table{}
+	t := &Table{changed: make(chan struct{})}
 	t.Publish(&Snapshot{View: cluster.EmptyView()})
 	return t
 }
 
 // Publish replaces the snapshot.
-func (t *Table) Publish(s *Snapshot) { t.current.Store(s) }
+func (t *Table) Publish(s *Snapshot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.current.Store(s)
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed when the next snapshot is published. Get the channel
+// before loading the snapshot, so that no change is missed.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
 
 // Load returns the current snapshot. It is never nil.
 func (t *Table) Load() *Snapshot { return t.current.Load() }
