--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"os"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -57,3 +59,27 @@
 		})
 	}
 }
+
+// Guards against a settings page that lacks a field of the code, or lists one that no longer exists.
+func TestSettingsPageListsEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings.md")
+	require.NoError(t, err)
+	fields := fieldNames(reflect.TypeFor[Settings](), "")
+	for _, field := range fields {
+		require.Contains(t, string(page), "| `"+field+"` |")
+	}
+	require.Equal(t, len(fields), strings.Count(string(page), "\n| `"))
+}
+
+func fieldNames(t reflect.Type, prefix string) []string {
+	var names []string
+	for f := range t.Fields() {
+		name := prefix + f.Tag.Get("yaml")
+		if f.Type.Kind() == reflect.Struct {
+			names = append(names, fieldNames(f.Type, name+".")...)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
