--- a/internal/platform/standin/admin.go
+++ b/internal/platform/standin/admin.go
@@ -3,28 +3,28 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
+	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/errs"
 )
 
 // FaultsBody is the JSON form of Faults. Fields that are absent from a request stay as they are.
 type FaultsBody struct {
-	Down            *bool    `json:"down,omitempty"`
-	SlowMS          *int64   `json:"slow_ms,omitempty"`
-	LoseAnswers     *bool    `json:"lose_answers,omitempty"`
-	LoseNext        *int     `json:"lose_next,omitempty"`
-	ReadsPerSecond  *float64 `json:"reads_per_second,omitempty"`
-	WritesPerSecond *float64 `json:"writes_per_second,omitempty"`
+	Down            *bool            `json:"down,omitempty"`
+	Slow            *config.Duration `json:"slow,omitempty"`
+	LoseAnswers     *bool            `json:"lose_answers,omitempty"`
+	LoseNext        *int             `json:"lose_next,omitempty"`
+	ReadsPerSecond  *float64         `json:"reads_per_second,omitempty"`
+	WritesPerSecond *float64         `json:"writes_per_second,omitempty"`
 }
 
 func bodyOf(f Faults) FaultsBody {
-	slow := f.Slow.Milliseconds()
+	slow := config.Duration(f.Slow)
 	return FaultsBody{&f.Down, &slow, &f.LoseAnswers, &f.LoseNext, &f.ReadsPerSecond, &f.WritesPerSecond}
 }
 
 func (b FaultsBody) check() error {
-	negative := b.SlowMS != nil && *b.SlowMS < 0 || b.LoseNext != nil && *b.LoseNext < 0 ||
+	negative := b.Slow != nil && *b.Slow < 0 || b.LoseNext != nil && *b.LoseNext < 0 ||
 		b.ReadsPerSecond != nil && *b.ReadsPerSecond < 0 || b.WritesPerSecond != nil && *b.WritesPerSecond < 0
 	if negative {
 		return errs.New(errs.Invalid, "Send numbers of at least 0.", "a fault has a negative number")
@@ -38,8 +38,8 @@
 	assign(&f.LoseNext, b.LoseNext)
 	assign(&f.ReadsPerSecond, b.ReadsPerSecond)
 	assign(&f.WritesPerSecond, b.WritesPerSecond)
-	if b.SlowMS != nil {
-		f.Slow = time.Duration(*b.SlowMS) * time.Millisecond
+	if b.Slow != nil {
+		f.Slow = b.Slow.Std()
 	}
 }
 
