Add admission in front of the target

Cause: a target must not get more than it bears, above all while it is cold, and its own report may mislead.

Ruled out: a ramp by wall time alone; a target without load does not become warm, so only time with running requests counts. Inferring coldness from latency alone; stragglers look the same. A minimum over single latencies as the baseline of the gradient; a mix of cheap and expensive requests would then lower the limit for good, so the minimum is taken over window means.

Change: deterministic Core (limit, ramp, classes with a share of 10%, newest first when more than one request per slot waits, early refusal), Controller around it, Budget for the memory of bodies.

--- /dev/null
+++ b/internal/admission/controller.go
@@ -0,0 +1,172 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/answer"
+	"github.com/citronvane/citronvane/internal/clock"
+)
+
+// pollEvery is how often waiting requests are looked at without another event: the limit of a cold target rises
+// with time.
+const pollEvery = 20 * time.Millisecond
+
+// retryAfter is the pause that refused callers are asked for.
+const retryAfter = time.Second
+
+// Controller makes a Core usable from many goroutines.
+type Controller struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	core    *Core
+	results map[uint64]chan answer.Kind
+	polling bool
+}
+
+// NewController returns a controller for a target in cold start.
+func NewController(clk clock.Clock, shape Shape) *Controller {
+	return &Controller{clock: clk, core: NewCore(clk.Now(), shape), results: map[uint64]chan answer.Kind{}}
+}
+
+// Permit is the right to run one request.
+type Permit struct {
+	controller *Controller
+	granted    clock.Instant
+	released   atomic.Bool
+}
+
+// Acquire waits until the request may run. The context must have a deadline.
+func (c *Controller) Acquire(ctx context.Context, class Class) (*Permit, *answer.Refusal) {
+	id, result := c.arrive(ctx, class)
+	select {
+	case kind := <-result:
+		return c.permit(kind)
+	case <-ctx.Done():
+	}
+	if c.cancel(id) {
+		return nil, answer.Refuse(answer.Deadline, "the request waited for the target until its deadline")
+	}
+	return c.permit(<-result) // The result came at the same moment.
+}
+
+func (c *Controller) arrive(ctx context.Context, class Class) (uint64, <-chan answer.Kind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	deadline := now.Add(maxWait)
+	if end, ok := ctx.Deadline(); ok {
+		deadline = now.Add(time.Until(end))
+	}
+	result := make(chan answer.Kind, 1)
+	id, events := c.core.Arrive(now, class, deadline)
+	c.results[id] = result
+	c.deliver(events)
+	c.startPolling()
+	return id, result
+}
+
+// maxWait bounds the wait of a request without a deadline, the longest max_request.
+const maxWait = 30 * time.Second
+
+// deliver hands events to the waiting requests. Each channel has room for its only event.
+func (c *Controller) deliver(events []Event) {
+	for _, e := range events {
+		c.results[e.Ticket] <- e.Refusal
+		delete(c.results, e.Ticket)
+	}
+}
+
+func (c *Controller) permit(refusal answer.Kind) (*Permit, *answer.Refusal) {
+	switch refusal {
+	case "":
+		return &Permit{controller: c, granted: c.clock.Now()}, nil
+	case answer.Cold:
+		return nil, answer.Refuse(refusal, "the target is in cold start and its queue is full").After(retryAfter)
+	}
+	return nil, answer.Refuse(refusal, "the request can't run at the target before its deadline").After(retryAfter)
+}
+
+func (c *Controller) cancel(id uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.core.Cancel(id) {
+		return false
+	}
+	delete(c.results, id)
+	return true
+}
+
+// Release ends the run. Only the first call counts.
+func (p *Permit) Release(o Outcome) {
+	if p.released.Swap(true) {
+		return
+	}
+	c := p.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	c.deliver(c.core.Done(now, now.Sub(p.granted), o))
+}
+
+// Restart begins a cold start.
+func (c *Controller) Restart(shape Shape) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	c.core.Restart(now, shape)
+	c.deliver(c.core.Poll(now))
+}
+
+// Report takes the number of running requests that the target reports.
+func (c *Controller) Report(running int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.Report(c.clock.Now(), running)
+}
+
+// Stats returns the current state.
+func (c *Controller) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Stats(c.clock.Now())
+}
+
+// startPolling polls for as long as requests wait.
+func (c *Controller) startPolling() {
+	if c.polling || len(c.results) == 0 {
+		return
+	}
+	c.polling = true
+	time.AfterFunc(pollEvery, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.polling = false
+		c.deliver(c.core.Poll(c.clock.Now()))
+		c.startPolling()
+	})
+}
+
+// Budget bounds the memory of request bodies that wait.
+type Budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewBudget returns a budget of so many bytes.
+func NewBudget(bytes int64) *Budget { return &Budget{limit: bytes} }
+
+// Reserve takes n bytes, or none if they would exceed the budget.
+func (b *Budget) Reserve(n int64) bool {
+	if b.used.Add(n) <= b.limit {
+		return true
+	}
+	b.used.Add(-n)
+	return false
+}
+
+// Release gives n bytes back.
+func (b *Budget) Release(n int64) { b.used.Add(-n) }
--- /dev/null
+++ b/internal/admission/core.go
@@ -0,0 +1,283 @@
+// Package admission decides when a request may run at the host's own target: it
+// adapts the concurrency limit to measured latency, protects a cold target, and
+// queues requests by priority. Core is deterministic and takes the time as an
+// argument; Controller makes it usable from many goroutines.
+package admission
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/answer"
+	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/config"
+)
+
+const (
+	// queuePerSlot bounds the queue: a request at its end waits for about four service times.
+	queuePerSlot = 4
+	// minShare is the part of the grants and of the queue, as a divisor, that each class keeps.
+	minShare = 10
+)
+
+// Class is a priority class; the lowest number is served first.
+type Class int
+
+// The classes.
+const (
+	Internal Class = iota
+	Interactive
+	Batch
+	classes
+)
+
+// ClassOf returns the class of a priority. A request without one is interactive.
+func ClassOf(p config.Priority) Class {
+	switch p {
+	case config.Internal:
+		return Internal
+	case config.Batch:
+		return Batch
+	}
+	return Interactive
+}
+
+// Result says how a run ended.
+type Result int
+
+// The results of a run.
+const (
+	// Completed means that the target answered, or failed to answer, after it got the request.
+	Completed Result = iota
+	// Refused means that the target refused the request without running it.
+	Refused
+	// RefusedCold means that the target refused the request because it is in cold start.
+	RefusedCold
+	// NotSent says nothing about the target.
+	NotSent
+)
+
+// Outcome describes a run.
+type Outcome struct {
+	Result Result
+	// Latency is the time to the head of the answer. The time to send a body depends on the caller.
+	Latency time.Duration
+}
+
+// Event tells a waiting request that it may run, or that it is refused.
+type Event struct {
+	Ticket uint64
+	// Refusal is empty if the request may run.
+	Refusal answer.Kind
+}
+
+// Core is the state machine. It is not safe for concurrent use.
+type Core struct {
+	limiter limiter
+	running int
+	peak    peak
+	queues  [classes]list.List // *waiter, oldest first
+	credits [classes]int
+	waiting map[uint64]*waiter
+	lastID  uint64
+	hold    time.Duration // mean time for which a request keeps its place
+	fastest fastest
+}
+
+type waiter struct {
+	id       uint64
+	class    Class
+	deadline clock.Instant
+	element  *list.Element
+}
+
+// NewCore returns the state for a target in cold start.
+func NewCore(now clock.Instant, shape Shape) *Core {
+	c := &Core{waiting: map[uint64]*waiter{}}
+	c.Restart(now, shape)
+	return c
+}
+
+// Restart begins a cold start, because a new incarnation of the target has announced itself. Requests of the earlier
+// incarnation count until they end.
+func (c *Core) Restart(now clock.Instant, shape Shape) {
+	c.limiter.restart(now, shape)
+	c.hold, c.fastest = 0, fastest{}
+}
+
+// Arrive takes a request that may wait until its deadline. Its event is among the returned ones, now or in a later
+// call. Events may concern other requests as well.
+func (c *Core) Arrive(now clock.Instant, class Class, deadline clock.Instant) (uint64, []Event) {
+	c.limiter.advance(now, c.running)
+	c.lastID++
+	w := &waiter{id: c.lastID, class: class, deadline: deadline}
+	if len(c.waiting) > 0 || c.running >= c.limiter.limit(now) {
+		if now.Add(c.expectedWait(now, class)) >= deadline {
+			return w.id, []Event{{w.id, c.overload(now)}}
+		}
+	}
+	var events []Event
+	if len(c.waiting) >= c.capacity() {
+		victim := c.victim(class)
+		if victim == nil {
+			return w.id, []Event{{w.id, c.overload(now)}}
+		}
+		c.remove(victim)
+		events = append(events, Event{victim.id, c.overload(now)})
+	}
+	w.element = c.queues[class].PushBack(w)
+	c.waiting[w.id] = w
+	return w.id, append(events, c.Poll(now)...)
+}
+
+// Done ends a request that was granted. held is the time since the grant.
+func (c *Core) Done(now clock.Instant, held time.Duration, o Outcome) []Event {
+	c.limiter.advance(now, c.running)
+	saturated := len(c.waiting) > 0 || c.running >= c.limiter.limit(now)
+	c.running--
+	c.limiter.done(now, o, saturated)
+	if o.Result == Completed {
+		c.hold = time.Duration(smooth(float64(c.hold), float64(held)))
+		c.fastest.add(now, o.Latency)
+	}
+	return c.Poll(now)
+}
+
+// Cancel removes a waiting request. It returns false if the request does not wait any more.
+func (c *Core) Cancel(id uint64) bool {
+	w := c.waiting[id]
+	if w == nil {
+		return false
+	}
+	c.remove(w)
+	return true
+}
+
+// Report takes the number of running requests that the target reports. The report lags, so it is compared to the
+// most that ran lately.
+func (c *Core) Report(now clock.Instant, reported int) {
+	c.limiter.report(now, reported, c.peak.recent(now, c.running))
+}
+
+// Poll grants places that are free and refuses requests that can't meet their deadline any more.
+func (c *Core) Poll(now clock.Instant) []Event {
+	c.limiter.advance(now, c.running)
+	var events []Event
+	for len(c.waiting) > 0 && c.running < c.limiter.limit(now) {
+		w := c.pick()
+		c.remove(w)
+		if refusal := c.tooLate(now, w); refusal != "" {
+			events = append(events, Event{w.id, refusal})
+			continue
+		}
+		c.charge(w.class)
+		c.running++
+		c.peak.recent(now, c.running)
+		events = append(events, Event{Ticket: w.id})
+	}
+	return events
+}
+
+func (c *Core) tooLate(now clock.Instant, w *waiter) answer.Kind {
+	if now >= w.deadline {
+		return answer.Deadline
+	}
+	if now.Add(c.fastest.get()) >= w.deadline {
+		return answer.Shed
+	}
+	return ""
+}
+
+// pick returns the next request: of the highest class, unless a lower one has waited for its share.
+func (c *Core) pick() *waiter {
+	class := Class(-1)
+	for i := range classes {
+		if c.queues[i].Len() == 0 {
+			continue
+		}
+		if class < 0 || c.credits[i] >= minShare && c.credits[i] > c.credits[class] {
+			class = i
+		}
+	}
+	if c.overloaded() {
+		return c.queues[class].Back().Value.(*waiter)
+	}
+	return c.queues[class].Front().Value.(*waiter)
+}
+
+// charge counts a grant against the shares of the classes.
+func (c *Core) charge(granted Class) {
+	for i := range classes {
+		if c.queues[i].Len() == 0 {
+			c.credits[i] = 0
+			continue
+		}
+		if i != granted {
+			c.credits[i]++
+		}
+	}
+	c.credits[granted] = 0
+}
+
+// overloaded reports whether the queue holds more than one request for each slot. Then the newest request is served
+// first, because the oldest ones would miss their deadlines anyway.
+func (c *Core) overloaded() bool { return len(c.waiting) > c.limiter.shape.Slots }
+
+func (c *Core) capacity() int { return queuePerSlot * c.limiter.shape.Slots }
+
+// victim returns the request that gives its place in a full queue to an arrival, or nil. It is the oldest of the
+// lowest class that holds more than its share, or else the oldest of the arrival's own class. Higher classes give
+// places only to a class that has not filled its share.
+func (c *Core) victim(arriving Class) *waiter {
+	share := max(1, c.capacity()/minShare)
+	entitled := c.queues[arriving].Len() < share
+	for i := classes - 1; i >= 0; i-- {
+		if i != arriving && (i > arriving || entitled) && c.queues[i].Len() > share {
+			return c.queues[i].Front().Value.(*waiter)
+		}
+	}
+	if oldest := c.queues[arriving].Front(); oldest != nil {
+		return oldest.Value.(*waiter)
+	}
+	return nil
+}
+
+// expectedWait estimates the wait of an arrival.
+func (c *Core) expectedWait(now clock.Instant, class Class) time.Duration {
+	own := c.queues[class].Len()
+	if c.overloaded() {
+		own = 0
+	}
+	ahead := own
+	for i := range class {
+		ahead += c.queues[i].Len()
+	}
+	ahead = min(ahead+1, (own+1)*minShare)
+	return c.hold * time.Duration(ahead) / time.Duration(c.limiter.limit(now))
+}
+
+// overload returns why requests are refused now.
+func (c *Core) overload(now clock.Instant) answer.Kind {
+	if !c.limiter.warm() && c.limiter.rampLimit() <= c.limiter.limit(now) {
+		return answer.Cold
+	}
+	return answer.Shed
+}
+
+func (c *Core) remove(w *waiter) {
+	c.queues[w.class].Remove(w.element)
+	delete(c.waiting, w.id)
+}
+
+// Stats describes the state for metrics.
+type Stats struct {
+	Running int
+	Waiting int
+	Limit   int
+	Cold    bool
+}
+
+// Stats returns the current state.
+func (c *Core) Stats(now clock.Instant) Stats {
+	return Stats{Running: c.running, Waiting: len(c.waiting), Limit: c.limiter.limit(now), Cold: !c.limiter.warm()}
+}
