--- a/internal/target/standin/body.go
+++ b/internal/target/standin/body.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -37,10 +38,8 @@
 
 // Generate returns size bytes that depend on the identity of the request.
 func Generate(requestID string, size int) []byte {
-	var seed [32]byte
-	copy(seed[:], requestID)
 	body := make([]byte, size)
-	_, _ = rand.NewChaCha8(seed).Read(body) // It never fails.
+	_, _ = rand.NewChaCha8(sha256.Sum256([]byte(requestID))).Read(body) // It never fails.
 	return body
 }
 
