--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -167,9 +167,9 @@
 		echo(w, r)
 	}}
 	report := f.run(t, func(o *Options) {
-		o.Rate, o.MaxInFlight, o.MaxRequests, o.Duration = 100, 1, 0, 600*time.Millisecond
+		o.Rate, o.MaxInFlight, o.MaxRequests, o.Duration = 100, 1, 0, 400*time.Millisecond
 	})
-	require.EqualValues(t, 60, report.Answers[OK], "requests that were due during the stall must be sent")
+	require.EqualValues(t, 40, report.Answers[OK], "requests that were due during the stall must be sent")
 	require.Greater(t, report.Succeeded[allClasses].P50, 100.0)
 
 	stalled := &fake{handler: func(http.ResponseWriter, *http.Request, int) { time.Sleep(300 * time.Millisecond) }}
--- a/internal/target/standin/target_test.go
+++ b/internal/target/standin/target_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -37,12 +38,14 @@
 		change(&b)
 	}
 	o.Name, o.Clock, o.LeaveTimeout = "t", f.clock, 10*time.Second
-	o.Slots, o.Connections = max(o.Slots, 4), max(o.Connections, 50)
+	o.Slots, o.Connections = cmp.Or(o.Slots, 4), cmp.Or(o.Connections, 50)
 	o.Exit = func(int) { f.exits.Add(1) }
 	var err error
 	f.Target, err = New(o, b)
 	require.NoError(t, err)
-	server := httptest.NewServer(f)
+	server := httptest.NewUnstartedServer(f)
+	server.Config.ConnState = f.limitConnections
+	server.Start()
 	f.url = server.URL
 	t.Cleanup(server.Close)
 	return f
@@ -185,11 +188,42 @@
 	f.clock.Advance(f.behaviour.ColdTime.Std())
 	require.Empty(t, f.checkLoad(20), "a target that has worked for the cold time is warm")
 	f.TurnCold()
+	f.clock.Advance(f.behaviour.ColdTime.Std() / 2)
+	require.EqualValues(t, reasonCold, f.checkLoad(40))
+	require.Equal(t, 1.0, f.State().Bears, "a target that fell over is cold again")
 	f.behaviour.FallOver = FallOverExit
 	f.checkLoad(20)
 	require.EqualValues(t, 1, f.exits.Load())
 }
 
+// Guards against a frozen target that answers, and against a run that ends while its target is frozen.
+func TestFreeze(t *testing.T) {
+	f := start(t, Options{}, nil)
+	f.Freeze(time.Millisecond)
+	answers := make(chan answered, 1)
+	go func() { answers <- f.post(context.Background(), "/", nil) }()
+	require.Never(t, func() bool { return len(answers) > 0 }, 100*time.Millisecond, 10*time.Millisecond)
+	f.clock.Advance(time.Millisecond)
+	require.Equal(t, http.StatusOK, (<-answers).status)
+}
+
+// Guards against a target that takes more connections than it declares, or never takes new ones again.
+func TestConnectionsAreBounded(t *testing.T) {
+	f := start(t, Options{Connections: 1}, nil)
+	address := strings.TrimPrefix(f.url, "http://")
+	first, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return f.connections.Load() == 1 }, 5*time.Second, time.Millisecond)
+	second, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer second.Close()
+	require.NoError(t, second.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = second.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, first.Close())
+	require.Eventually(t, func() bool { return f.connections.Load() == 0 }, 5*time.Second, time.Millisecond)
+}
+
 // Guards against a stop before the node said that no work is left, and against new work after that.
 func TestLeaveWaitsForTheNode(t *testing.T) {
 	f := start(t, Options{Node: "unused"}, nil)
