Add the gate in front of the target

Cause: ownership, lease, identity, poison and admission have to be checked in one place, right before a request reaches the target.

Ruled out: cancelling on any failed check while a request runs; a planned handover would cut off requests, so the recurring check and the start of the run exclude each other. Ending a recorded run with its caller; the repeat would get repeat_unknown, so such a run goes on until its deadline and its answer is kept. Checking zone and target before the identity; a repeat of an answered request would be refused although its answer is here.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -25,6 +25,8 @@
 	core    *Core
 	results map[uint64]chan answer.Kind
 	polling bool
+	// incarnation counts restarts. Outcomes of an earlier incarnation say nothing about the current one.
+	incarnation int
 }
 
 // NewController returns a controller for a target in cold start.
@@ -36,7 +38,9 @@
 type Permit struct {
 	controller *Controller
 	granted    clock.Instant
-	released   atomic.Bool
+	// incarnation is the one that the request was granted under.
+	incarnation int
+	released    atomic.Bool
 }
 
 // Acquire waits until the request may run. The context must have a deadline.
@@ -83,7 +87,9 @@
 func (c *Controller) permit(refusal answer.Kind) (*Permit, *answer.Refusal) {
 	switch refusal {
 	case "":
-		return &Permit{controller: c, granted: c.clock.Now()}, nil
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return &Permit{controller: c, granted: c.clock.Now(), incarnation: c.incarnation}, nil
 	case answer.Cold:
 		return nil, answer.Refuse(refusal, "the target is in cold start and its queue is full").After(retryAfter)
 	}
@@ -109,6 +115,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
+	if p.incarnation != c.incarnation {
+		o = Outcome{Result: NotSent}
+	}
 	c.deliver(c.core.Done(now, now.Sub(p.granted), o))
 }
 
@@ -117,10 +126,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
+	c.incarnation++
 	c.core.Restart(now, shape)
 	c.deliver(c.core.Poll(now))
 }
 
+// SetCold changes what a cold target bears. It does not restart the ramp.
+func (c *Controller) SetCold(cold ColdStart) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.SetCold(cold)
+}
+
 // Report takes the number of running requests that the target reports.
 func (c *Controller) Report(running int) {
 	c.mu.Lock()
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -88,9 +88,14 @@
 // restart begins a cold start of a target with the shape.
 func (l *limiter) restart(now clock.Instant, shape Shape) {
 	shape.Slots = max(1, shape.Slots)
-	shape.Cold.Concurrency = min(max(1, shape.Cold.Concurrency), shape.Slots)
 	*l = limiter{shape: shape, adaptive: float64(shape.Slots), last: now, window: window{start: now}}
 	l.baseline.since = now
+	l.setCold(shape.Cold)
+}
+
+func (l *limiter) setCold(cold ColdStart) {
+	cold.Concurrency = min(max(1, cold.Concurrency), l.shape.Slots)
+	l.shape.Cold = cold
 }
 
 // advance counts time under load. A target without load doesn't become warm.
--- /dev/null
+++ b/internal/gate/control.go
@@ -0,0 +1,127 @@
+package gate
+
+import (
+	"fmt"
+
+	"github.com/citronvane/citronvane/internal/admission"
+	"github.com/citronvane/citronvane/internal/cluster"
+	"github.com/citronvane/citronvane/internal/event"
+	"github.com/citronvane/citronvane/internal/identity"
+	"github.com/citronvane/citronvane/internal/wire"
+)
+
+// InFlight returns the number of requests of the slice that are waiting or running. A handover publishes the snapshot
+// in which the slice is moving before it asks.
+func (g *Gate) InFlight(slice cluster.SliceID) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight[slice]
+}
+
+// Idle reports whether no request is waiting or running.
+func (g *Gate) Idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.total == 0
+}
+
+// ExportIdentities returns the identity records of a slice without requests in flight, for its next owner.
+func (g *Gate) ExportIdentities(slice cluster.SliceID) []*wire.Identity {
+	owned := g.cfg.Table.Load().Owned[slice]
+	o := identity.Ownership{
+		Slice: slice, Epoch: owned.Epoch, RecordEpoch: owned.RecordEpoch, TakenOverAt: owned.TakenOverAt,
+		Retention: g.retention(slice.Service),
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.identities.Export(g.cfg.Clock.Now(), o)
+}
+
+// ImportIdentities takes identity records from the owner of a slice. It returns false, and takes none, if they are
+// malformed or don't fit.
+func (g *Gate) ImportIdentities(batch *wire.IdentityBatch) bool {
+	retention := g.retention(batch.GetService())
+	g.mu.Lock()
+	accepted := g.identities.Import(g.cfg.Clock.Now(), batch, retention)
+	g.mu.Unlock()
+	if !accepted {
+		event.IdentitiesRefused.On(g.cfg.Logger).Str("service", batch.GetService()).Int("slice", int(batch.GetSlice())).
+			Int("records", len(batch.GetIdentities())).Send()
+	}
+	return accepted
+}
+
+// ReportPoison takes a report of another node.
+func (g *Gate) ReportPoison(report *wire.PoisonReport) {
+	g.mu.Lock()
+	quarantined, ok := g.poison.Add(g.cfg.Clock.Now(), report)
+	g.mu.Unlock()
+	if !ok {
+		g.logOnce.Do(func() { event.PoisonReportBad.On(g.cfg.Logger).Str("reporter", report.GetReporter()).Send() })
+	}
+	g.logQuarantined(quarantined)
+}
+
+// TargetAnnounced directs requests to the target. A new incarnation begins a cold start.
+func (g *Gate) TargetAnnounced(info cluster.TargetInfo, leaving bool) {
+	info.Down = false
+	if g.cfg.UseTarget != nil {
+		g.cfg.UseTarget(info)
+	}
+	g.mu.Lock()
+	old := g.target
+	replaced := old.Incarnation != info.Incarnation
+	var report *wire.PoisonReport
+	if replaced && old.Incarnation != "" {
+		report = g.poison.TargetGone(g.cfg.Clock.Now(), old.Incarnation)
+	}
+	g.poison.TargetBack(info.Incarnation)
+	g.target, g.leaving = info, leaving
+	g.mu.Unlock()
+	if replaced || old.Slots != info.Slots {
+		g.admission.Restart(admission.Shape{Slots: info.Slots, Cold: *g.cold.Load()})
+	}
+	g.share(report)
+}
+
+// TargetLost refuses requests until the target announces itself again.
+func (g *Gate) TargetLost() {
+	g.mu.Lock()
+	g.target.Down = true
+	report := g.poison.TargetGone(g.cfg.Clock.Now(), g.target.Incarnation)
+	g.mu.Unlock()
+	g.share(report)
+}
+
+// ReportLoad takes the number of running requests that the target reports.
+func (g *Gate) ReportLoad(running int) { g.admission.Report(running) }
+
+// share passes an own report on and logs it.
+func (g *Gate) share(report *wire.PoisonReport) {
+	if report == nil {
+		return
+	}
+	event.TargetCrashed.On(g.cfg.Logger).Str("incarnation", report.GetTargetIncarnation()).
+		Int("suspects", len(report.GetFingerprints())).Send()
+	g.logQuarantined(g.quarantined(report.GetFingerprints()))
+	if g.cfg.SharePoison != nil {
+		g.cfg.SharePoison(report)
+	}
+}
+
+func (g *Gate) quarantined(fingerprints []uint64) (in []uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, fingerprint := range fingerprints {
+		if g.poison.Quarantined(g.cfg.Clock.Now(), fingerprint) > 0 {
+			in = append(in, fingerprint)
+		}
+	}
+	return in
+}
+
+func (g *Gate) logQuarantined(fingerprints []uint64) {
+	for _, fingerprint := range fingerprints {
+		event.RequestQuarantined.On(g.cfg.Logger).Str("fingerprint", fmt.Sprintf("%016x", fingerprint)).Send()
+	}
+}
--- /dev/null
+++ b/internal/gate/telemetry.go
@@ -0,0 +1,113 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/citronvane/citronvane/internal/answer"
+	"github.com/citronvane/citronvane/internal/wire"
+)
+
+const (
+	instrumentation  = "citronvane/gate"
+	traceparentField = "traceparent"
+)
+
+var traceContext = propagation.TraceContext{}
+
+// startSpan continues the trace of the entrance.
+func startSpan(ctx context.Context, head *wire.RequestHead) (context.Context, trace.Span) {
+	carrier := propagation.MapCarrier{traceparentField: head.GetTraceparent()}
+	return startNamed(traceContext.Extract(ctx, carrier), "gate", trace.SpanKindServer, head)
+}
+
+func startTargetSpan(ctx context.Context, head *wire.RequestHead) (context.Context, trace.Span) {
+	return startNamed(ctx, "target", trace.SpanKindClient, head)
+}
+
+func startNamed(ctx context.Context, name string, kind trace.SpanKind, head *wire.RequestHead) (context.Context, trace.Span) {
+	return otel.Tracer(instrumentation).Start(ctx, name, trace.WithSpanKind(kind), trace.WithAttributes(
+		attribute.String("citronvane.service", head.GetService()),
+		attribute.String("http.request.method", head.GetMethod()),
+		attribute.Int("citronvane.slice", int(head.GetSlice())),
+	))
+}
+
+// traceparent returns the field that continues the trace at the target.
+func traceparent(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	traceContext.Inject(ctx, carrier)
+	return carrier[traceparentField]
+}
+
+func kindAttribute(kind answer.Kind) attribute.KeyValue {
+	return attribute.String("citronvane.answer", string(kind))
+}
+
+// metrics are the instruments of a gate.
+type metrics struct {
+	refusals     metric.Int64Counter
+	latency      metric.Float64Histogram
+	registration metric.Registration
+}
+
+func newMetrics(g *Gate) (*metrics, error) {
+	meter := otel.Meter(instrumentation)
+	m := &metrics{}
+	var err error
+	m.refusals, err = meter.Int64Counter("citronvane.gate.refusals", metric.WithDescription("Requests that the gate answered itself, by kind."))
+	if err != nil {
+		return nil, err
+	}
+	m.latency, err = meter.Float64Histogram("citronvane.gate.target.latency", metric.WithUnit("s"), metric.WithDescription("Time until the head of the target's answer."))
+	if err != nil {
+		return nil, err
+	}
+	return m, m.observe(meter, g)
+}
+
+// observe registers the gauges of the admission state and of the identity records.
+func (m *metrics) observe(meter metric.Meter, g *Gate) error {
+	names := []string{"running", "queued", "limit", "identities"}
+	gauges := make([]metric.Int64ObservableGauge, len(names))
+	observables := make([]metric.Observable, len(names))
+	for i, name := range names {
+		gauge, err := meter.Int64ObservableGauge("citronvane.gate." + name)
+		if err != nil {
+			return err
+		}
+		gauges[i], observables[i] = gauge, gauge
+	}
+	registration, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s := g.admission.Stats()
+		for i, value := range []int{s.Running, s.Waiting, s.Limit, g.records()} {
+			o.ObserveInt64(gauges[i], int64(value))
+		}
+		return nil
+	}, observables...)
+	m.registration = registration
+	return err
+}
+
+func (g *Gate) records() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	records, _ := g.identities.Size()
+	return records
+}
+
+func (m *metrics) close() error { return m.registration.Unregister() }
+
+func (m *metrics) refused(kind answer.Kind) {
+	m.refusals.Add(context.Background(), 1, metric.WithAttributes(kindAttribute(kind)))
+}
+
+func (m *metrics) ran(ctx context.Context, latency time.Duration) {
+	m.latency.Record(ctx, latency.Seconds())
+}
