Check that each key has one owner at a time in the load generator

Cause: the first invariant needs a check over the history of runs, not only over what callers were told.

Ruled out: comparing epochs alone; two targets with different epochs that run at the same time are two owners.

Change: check 'one owner' over the targets' journals: no overlapping runs of a key on two targets, no older epoch after a newer one. The follower tells when the replica has caught up for the first time, also with an empty platform.

Conclusion: the process tests can use it.

--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -61,7 +61,7 @@
 
 // Ports are the addresses of a host's programs.
 type Ports struct {
-	Callers, Relay, Heartbeat, Control, Operators, Targets, Target string
+	Callers, Relay, Heartbeat, Control, Operators, Targets, Target, TargetAdmin string
 }
 
 // Fleet is a set of running processes.
@@ -105,7 +105,7 @@
 
 func (f *Fleet) newHost(i int, spec NodeSpec, ports portAllocator) (*Host, error) {
 	h := &Host{Spec: spec}
-	fields := []*string{&h.Ports.Callers, &h.Ports.Relay, &h.Ports.Heartbeat, &h.Ports.Control, &h.Ports.Operators, &h.Ports.Targets, &h.Ports.Target}
+	fields := []*string{&h.Ports.Callers, &h.Ports.Relay, &h.Ports.Heartbeat, &h.Ports.Control, &h.Ports.Operators, &h.Ports.Targets, &h.Ports.Target, &h.Ports.TargetAdmin}
 	for k, field := range fields {
 		address, err := ports(100 + 10*i + k + 1)
 		if err != nil {
@@ -118,7 +118,13 @@
 		return nil, err
 	}
 	h.Node = f.process(spec.Name, "citronvane-node", "run", "--settings", file)
-	args := []string{"--name", spec.Name + "-target", "--service", spec.Service, "--listen", h.Ports.Target, "--node", h.Ports.Targets}
+	args := []string{
+		"--name", spec.Name + "-target",
+		"--service", spec.Service,
+		"--listen", h.Ports.Target,
+		"--admin", h.Ports.TargetAdmin,
+		"--node", h.Ports.Targets,
+	}
 	if spec.Fenced {
 		args = append(args, "--fenced")
 	}
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -80,7 +80,7 @@
 	if len(c.journals) == 0 {
 		return nil
 	}
-	checks := []Check{r.checkNotRun(c), checkOnce(c)}
+	checks := []Check{r.checkNotRun(c), checkOnce(c), checkOwner(c)}
 	for i := range checks {
 		if len(c.problems) > 0 && checks[i].Verdict == Passed {
 			checks[i].Verdict = Incomplete
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -57,6 +57,7 @@
 	}
 	f.replica.Replace(objects, revision)
 	f.succeeded(Source{})
+	f.caughtUp()
 	return nil
 }
 
@@ -72,6 +73,10 @@
 	return nil
 }
 
+func (f *Follower) caughtUp() {
+	f.syncOnce.Do(func() { close(f.synced) })
+}
+
 // followPeer applies the changes of a peer until the stream ends.
 func (f *Follower) followPeer(ctx context.Context, s Source) error {
 	since := f.replica.Revision()
@@ -102,6 +107,7 @@
 		}
 		if b.Revision != 0 {
 			f.replica.Replace(listed, b.Revision)
+			f.caughtUp()
 			listing, listed = false, nil
 		}
 	}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -47,6 +47,9 @@
 	aheadPeer  string
 	aheadUntil time.Time
 	retry      *backoff.ExponentialBackOff
+
+	syncOnce sync.Once
+	synced   chan struct{}
 }
 
 // behindMark is a revision that the node heard of and does not have yet.
@@ -80,9 +83,14 @@
 		failedUntil: map[string]time.Time{},
 		revisions:   map[string]uint64{},
 		retry:       newRetry(),
+		synced:      make(chan struct{}),
 	}
 }
 
+// Synced returns a channel that is closed once the replica has caught up with a source for the first
+// time, also if the source holds no objects.
+func (f *Follower) Synced() <-chan struct{} { return f.synced }
+
 func newRetry() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = retryInitial
