--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -78,12 +78,20 @@
 	g.poison.TargetBack(info.Incarnation)
 	g.target, g.leaving = info, leaving
 	g.mu.Unlock()
-	if replaced || old.Slots != info.Slots {
-		g.admission.Restart(admission.Shape{Slots: info.Slots, Cold: *g.cold.Load()})
+	if replaced || places(old) != places(info) {
+		g.admission.Restart(admission.Shape{Slots: places(info), Cold: *g.cold.Load()})
 	}
 	g.share(report)
 }
 
+// places returns how many requests can run at once: a request without a connection would only wait elsewhere.
+func places(info cluster.TargetInfo) int {
+	if info.Connections > 0 {
+		return min(info.Slots, info.Connections)
+	}
+	return info.Slots
+}
+
 // TargetLost refuses requests until the target announces itself again.
 func (g *Gate) TargetLost() {
 	g.mu.Lock()
