--- /dev/null
+++ b/internal/relay/clientconn.go
@@ -0,0 +1,327 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citronvane/citronvane/internal/errs"
+	"github.com/citronvane/citronvane/internal/wire"
+)
+
+const (
+	// readBuffer is the read buffer of a connection. 600 connections need 19 MiB.
+	readBuffer = 32 << 10
+	// probeInterval is how often a silent connection with streams is probed.
+	probeInterval = time.Second
+	// maxSilence is when a silent connection with streams counts as lost. A frozen server has lost
+	// its lease long before.
+	maxSilence = 3 * probeInterval
+	// maxIdle is when a connection without streams is closed.
+	maxIdle = 5 * time.Minute
+	// lastStream is the identity after which a connection takes no new streams.
+	lastStream = 1 << 31
+)
+
+// clientConn is one connection to a server.
+type clientConn struct {
+	pool   *pool
+	net    net.Conn
+	out    *outbox
+	wake   chan struct{}
+	done   chan struct{}
+	frames decoder
+	buffer []byte
+
+	mu      sync.Mutex
+	streams map[uint32]*stream
+	// reserved counts streams that open has given out and start has not sent yet.
+	reserved int
+	retired  bool
+	err      error
+}
+
+// dial connects and proves the cluster secret in both directions.
+func dial(ctx context.Context, p *pool) (*clientConn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Unavailable, "", "connect to %s", p.address)
+	}
+	c := &clientConn{
+		pool:    p,
+		net:     raw,
+		wake:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
+		buffer:  make([]byte, readBuffer),
+		streams: map[uint32]*stream{},
+	}
+	c.out = newOutbox(c.kick)
+	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Now()) })
+	err = c.handshake(p.client.opts.Secret)
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		_ = raw.Close()
+		return nil, errs.Wrap(err, errs.KindOf(err), errs.Remedy(err), "handshake with %s", p.address)
+	}
+	return c, nil
+}
+
+func (c *clientConn) kick() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *clientConn) handshake(secret []byte) error {
+	if err := c.net.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return err
+	}
+	challenge, err := c.readOne(kindChallenge)
+	if err != nil {
+		return err
+	}
+	hello, err := newHello(secret, challenge)
+	if err != nil {
+		return err
+	}
+	if _, err = c.net.Write(frame{kindHello, 0, hello}.append(nil)); err != nil {
+		return err
+	}
+	welcome, err := c.readOne(kindWelcome)
+	if err != nil {
+		return err
+	}
+	if err = checkWelcome(secret, challenge, hello, welcome); err != nil {
+		return err
+	}
+	return c.net.SetDeadline(time.Time{})
+}
+
+// readOne reads exactly one frame of the handshake and returns a copy of its payload.
+func (c *clientConn) readOne(want kind) ([]byte, error) {
+	data := make([]byte, headerSize+bounds[want].most)
+	if _, err := io.ReadFull(c.net, data); err != nil {
+		return nil, err
+	}
+	f, _, err := parse(data)
+	if err != nil {
+		return nil, err
+	}
+	if f.kind != want || len(f.payload) != bounds[want].most {
+		return nil, badFrame("the handshake has a frame of type %d, not %d", f.kind, want)
+	}
+	return f.payload, nil
+}
+
+// run reads and writes until the connection ends.
+func (c *clientConn) run(stale bool) {
+	if stale {
+		c.fail(ErrTruncated)
+		return
+	}
+	c.pool.client.wg.Go(c.writeAll)
+	c.fail(c.readAll())
+}
+
+func (c *clientConn) readAll() error {
+	heard := time.Now()
+	for {
+		_ = c.net.SetReadDeadline(time.Now().Add(probeInterval)) // A closed connection fails the read.
+		n, err := c.net.Read(c.buffer)
+		if n > 0 {
+			heard = time.Now()
+			if err := c.frames.feed(c.buffer[:n], c.receive); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if err := c.probe(time.Since(heard)); err != nil {
+				return err
+			}
+		default:
+			return err
+		}
+	}
+}
+
+// probe looks after a connection that has been silent.
+func (c *clientConn) probe(silent time.Duration) error {
+	if c.load() == 0 {
+		if silent >= maxIdle || c.isRetired() {
+			return errs.New(errs.Unavailable, "", "the connection is idle")
+		}
+		return nil
+	}
+	if silent >= maxSilence {
+		return errs.New(errs.Unavailable, "", "the server has been silent for %s", silent.Round(time.Millisecond))
+	}
+	return c.out.control(frame{kind: kindPing})
+}
+
+func (c *clientConn) writeAll() {
+	for {
+		select {
+		case <-c.wake:
+		case <-c.done:
+			return
+		}
+		data, err := c.out.take()
+		if err == nil && len(data) > 0 {
+			_, err = c.net.Write(data)
+		}
+		if err != nil {
+			c.fail(err)
+			return
+		}
+	}
+}
+
+func (c *clientConn) receive(f frame) error {
+	switch f.kind {
+	case kindPong:
+		return nil
+	case kindGoAway:
+		c.retire()
+		return nil
+	case kindResponse, kindData, kindEnd, kindReset, kindCredit:
+	default:
+		return badFrame("a server sent a frame of type %d", f.kind)
+	}
+	c.mu.Lock()
+	s := c.streams[f.stream]
+	c.mu.Unlock()
+	if s == nil {
+		return nil // A late frame of a finished stream.
+	}
+	return c.receiveForStream(s, f)
+}
+
+func (c *clientConn) receiveForStream(s *stream, f frame) error {
+	switch f.kind {
+	case kindResponse:
+		head := &wire.ResponseHead{}
+		if err := proto.Unmarshal(f.payload, head); err != nil {
+			return badFrame("the head of an answer can't be decoded: %v", err)
+		}
+		return s.deliverHead(head)
+	case kindData:
+		return s.deliver(f.payload)
+	case kindEnd:
+		c.remove(s.id)
+		s.finish()
+		s.stopSending(io.ErrClosedPipe)
+	case kindReset:
+		c.remove(s.id)
+		s.fail(ErrTruncated)
+	case kindCredit:
+		return s.addCredit(creditOf(f))
+	}
+	return nil
+}
+
+// open reserves a stream, or returns nil if the connection has no room.
+func (c *clientConn) open() *stream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil || c.retired || len(c.streams)+c.reserved >= maxStreams {
+		return nil
+	}
+	c.reserved++
+	return newStream(0, c.out)
+}
+
+// start sends the head of a stream that open returned. After an error no byte of it was handed over.
+func (c *clientConn) start(s *stream, first kind, head []byte) error {
+	err := c.out.start(s, first, head, func() error {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.err != nil {
+			return c.err
+		}
+		c.reserved--
+		c.streams[s.id] = s
+		return nil
+	})
+	if err != nil {
+		c.mu.Lock()
+		c.reserved--
+		c.mu.Unlock()
+		c.pool.room()
+		return err
+	}
+	if s.id >= lastStream {
+		c.retire()
+	}
+	return nil
+}
+
+// remove reports whether the stream was still open.
+func (c *clientConn) remove(id uint32) bool {
+	c.mu.Lock()
+	_, open := c.streams[id]
+	delete(c.streams, id)
+	full := len(c.streams)+c.reserved == maxStreams-1
+	idle := c.retired && len(c.streams)+c.reserved == 0
+	c.mu.Unlock()
+	if open && full {
+		c.pool.room()
+	}
+	if open && idle {
+		_ = c.net.SetReadDeadline(time.Now()) // Lets the reader close the connection.
+	}
+	return open
+}
+
+func (c *clientConn) load() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.streams) + c.reserved
+}
+
+func (c *clientConn) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
+}
+
+// retire takes no new streams and lets the running ones finish.
+func (c *clientConn) retire() {
+	c.mu.Lock()
+	c.retired = true
+	c.mu.Unlock()
+	c.pool.remove(c)
+}
+
+// fail closes the connection and ends its streams.
+func (c *clientConn) fail(err error) {
+	c.mu.Lock()
+	if c.err != nil {
+		c.mu.Unlock()
+		return
+	}
+	c.err = err
+	streams := c.streams
+	c.streams = map[uint32]*stream{}
+	c.mu.Unlock()
+	close(c.done)
+	c.pool.remove(c)
+	lost := fmt.Errorf("%w: the connection to %s was lost: %w", ErrTruncated, c.pool.address, err)
+	c.out.fail(lost)
+	for _, s := range streams {
+		s.fail(lost)
+	}
+	_ = c.net.Close()
+}
--- /dev/null
+++ b/internal/relay/outbox.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"sync"
+
+	"github.com/citronvane/citronvane/internal/errs"
+)
+
+const (
+	// softPending is where senders of heads and bodies start to wait for the connection.
+	softPending = 1 << 20
+	// hardPending bounds what control frames, which never wait, may add for a peer that reads nothing.
+	hardPending = softPending + 2<<20
+	// keepCapacity is the largest buffer that an idle connection keeps.
+	keepCapacity = 64 << 10
+)
+
+// outbox collects frames until the connection writes them, several at a time under load.
+type outbox struct {
+	mu        sync.Mutex
+	drained   sync.Cond
+	pending   []byte
+	spare     []byte
+	scheduled bool
+	err       error
+	lastID    uint32 // identity of the last stream that start sent
+	// kick asks the connection to call take. It is called without the lock, and not again before take.
+	kick func()
+}
+
+func newOutbox(kick func()) *outbox {
+	o := &outbox{kick: kick}
+	o.drained.L = &o.mu
+	return o
+}
+
+// send adds frames of a stream and waits while the connection is slower. After an error no byte of
+// the frames was handed over.
+func (o *outbox) send(s *stream, frames ...frame) error {
+	o.mu.Lock()
+	o.await(s)
+	if s.stopped.Load() {
+		o.mu.Unlock()
+		return s.sendError()
+	}
+	return o.add(frames...)
+}
+
+// start gives the stream its identity, calls register and adds the head. All of it happens under one
+// lock, because heads must be sent in the order of their identities.
+func (o *outbox) start(s *stream, k kind, head []byte, register func() error) error {
+	o.mu.Lock()
+	o.await(s)
+	if s.stopped.Load() {
+		o.mu.Unlock()
+		return s.sendError()
+	}
+	if o.err != nil {
+		defer o.mu.Unlock()
+		return o.err
+	}
+	s.id = o.lastID + 1
+	if err := register(); err != nil {
+		o.mu.Unlock()
+		return err
+	}
+	o.lastID = s.id
+	return o.add(frame{k, s.id, head})
+}
+
+// await waits until the connection has room, fails or the stream stops. It needs the lock.
+func (o *outbox) await(s *stream) {
+	for len(o.pending) >= softPending && o.err == nil && !s.stopped.Load() {
+		o.drained.Wait()
+	}
+}
+
+// control adds frames without waiting.
+func (o *outbox) control(frames ...frame) error {
+	o.mu.Lock()
+	if len(o.pending) >= hardPending && o.err == nil {
+		o.err = errs.New(errs.Unavailable, "Check why the peer does not read.", "relay: the peer reads nothing")
+	}
+	return o.add(frames...)
+}
+
+// add needs the lock and releases it.
+func (o *outbox) add(frames ...frame) error {
+	if o.err != nil {
+		err := o.err
+		o.mu.Unlock()
+		return err
+	}
+	for _, f := range frames {
+		o.pending = f.append(o.pending)
+	}
+	wake := !o.scheduled
+	o.scheduled = true
+	o.mu.Unlock()
+	if wake {
+		o.kick()
+	}
+	return nil
+}
+
+// take returns the collected bytes, or nothing. They are valid until the next call.
+func (o *outbox) take() ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.scheduled = false
+	if o.err != nil {
+		return nil, o.err
+	}
+	taken := o.pending
+	if cap(o.spare) > keepCapacity {
+		o.spare = nil
+	}
+	o.pending = o.spare[:0]
+	o.spare = taken
+	if len(taken) > 0 {
+		o.drained.Broadcast()
+	}
+	return taken, nil
+}
+
+// size returns the number of bytes that wait for the connection.
+func (o *outbox) size() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.pending)
+}
+
+// fail makes all later calls return err.
+func (o *outbox) fail(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.err == nil {
+		o.err = err
+	}
+	o.drained.Broadcast()
+}
+
+// wake lets senders look at their streams again.
+func (o *outbox) wake() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.drained.Broadcast()
+}
