Add the lease state machines and the choice of grantors

Cause: ownership needs leases that are kept between nodes, so that they survive outages of the platform. Ruled out: counting votes at the time at which they arrive; the candidate adds one percent to the remaining time because its clock may be the faster.

--- /dev/null
+++ b/internal/lease/choose.go
@@ -0,0 +1,141 @@
+package lease
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/citronvane/citronvane/internal/cluster"
+)
+
+// Costs of a set of grantors. Each level outweighs everything below it in a set of three.
+const (
+	// costRegion is the cost of each grantor on the wrong side of a cut between regions.
+	costRegion = 1000
+	// costSameZone is the cost of two grantors that a zone failure takes together.
+	costSameZone = 100
+	// costSameRack is the cost of two hosts that a rack failure takes together.
+	costSameRack = 10
+	// costOwnZone makes the loss of the node's own zone leave as many grantors as possible.
+	costOwnZone = 1
+)
+
+// Choose returns the grantors that the node should have. Nodes that avoid reports, such as ones that
+// don't answer, are chosen only if there are no others. Current grantors stay unless they can't
+// serve or another set has better locations, so that a change of membership replaces few.
+func Choose(self *cluster.Node, nodes []*cluster.Node, avoid func(cluster.NodeID) bool) []cluster.NodeID {
+	candidates := eligible(self, nodes, avoid)
+	chosen := keep(self, candidates)
+	for len(chosen) < MaxGrantors {
+		best := cheapest(self, chosen, candidates)
+		if best == nil {
+			break
+		}
+		chosen = append(chosen, best)
+	}
+	improve(self, chosen, candidates)
+	ids := make([]cluster.NodeID, 0, len(chosen))
+	for _, n := range chosen {
+		ids = append(ids, n.ID)
+	}
+	return ids
+}
+
+func eligible(self *cluster.Node, nodes []*cluster.Node, avoid func(cluster.NodeID) bool) []*cluster.Node {
+	var good, bad []*cluster.Node
+	for _, n := range nodes {
+		switch {
+		case n.State != cluster.Live || n.ID.Name == self.ID.Name:
+		case avoid(n.ID):
+			bad = append(bad, n)
+		default:
+			good = append(good, n)
+		}
+	}
+	if len(good) == 0 {
+		good = bad
+	}
+	// The order by a hash of both names spreads the holders evenly over the grantors.
+	weight := func(n *cluster.Node) uint64 { return xxhash.Sum64String(self.ID.Name + "/" + n.ID.Name) }
+	slices.SortFunc(good, func(a, b *cluster.Node) int {
+		if weight(a) < weight(b) {
+			return -1
+		}
+		return 1
+	})
+	return good
+}
+
+// keep returns the current grantors that are still candidates, in the order of the record.
+func keep(self *cluster.Node, candidates []*cluster.Node) []*cluster.Node {
+	var kept []*cluster.Node
+	for _, id := range self.Grantors {
+		i := slices.IndexFunc(candidates, func(n *cluster.Node) bool { return n.ID == id })
+		if i >= 0 && len(kept) < MaxGrantors {
+			kept = append(kept, candidates[i])
+		}
+	}
+	return kept
+}
+
+// cheapest returns the candidate that adds the least cost, the first of equal ones.
+func cheapest(self *cluster.Node, chosen, candidates []*cluster.Node) *cluster.Node {
+	var best *cluster.Node
+	bestCost := 0
+	for _, c := range candidates {
+		if slices.Contains(chosen, c) {
+			continue
+		}
+		if total := cost(self, append(slices.Clone(chosen), c)); best == nil || total < bestCost {
+			best, bestCost = c, total
+		}
+	}
+	return best
+}
+
+// improve replaces single members while that lowers the cost.
+func improve(self *cluster.Node, chosen, candidates []*cluster.Node) {
+	for i := 0; i < len(chosen); i++ {
+		before := cost(self, chosen)
+		others := slices.Delete(slices.Clone(chosen), i, i+1)
+		best := cheapest(self, others, candidates)
+		if best == nil || cost(self, append(slices.Clone(others), best)) >= before {
+			continue
+		}
+		chosen[i] = best
+		i = -1
+	}
+}
+
+func cost(self *cluster.Node, set []*cluster.Node) int {
+	total, home := 0, 0
+	for i, n := range set {
+		if n.Location.Region == self.Location.Region {
+			home++
+		}
+		if sameZone(n, self) {
+			total += costOwnZone
+		}
+		if sameRack(n, self) {
+			total += costSameRack
+		}
+		for _, m := range set[:i] {
+			if sameZone(n, m) {
+				total += costSameZone
+			}
+			if sameRack(n, m) {
+				total += costSameRack
+			}
+		}
+	}
+	// Two grantors in the home region keep the majority on both sides of a cut.
+	return total + costRegion*max(home-2, min(len(set), 2)-home, 0)
+}
+
+func sameZone(a, b *cluster.Node) bool {
+	return a.Location.Region == b.Location.Region && a.Location.AvailabilityZone == b.Location.AvailabilityZone
+}
+
+func sameRack(a, b *cluster.Node) bool {
+	return sameZone(a, b) && a.Location.Rack == b.Location.Rack
+}
--- /dev/null
+++ b/internal/lease/election.go
@@ -0,0 +1,64 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/cluster"
+)
+
+// Election collects the votes to revoke a holder. It belongs to one version of the holder's record:
+// the write that revokes the holder is conditional on it.
+type Election struct {
+	Holder   cluster.NodeID
+	Version  uint64
+	grantors []cluster.NodeID
+	votes    map[cluster.NodeID]clock.Instant
+}
+
+// NewElection starts the collection for a record that was read from the platform.
+func NewElection(record *cluster.Node) *Election {
+	return &Election{
+		Holder:   record.ID,
+		Version:  record.Version,
+		grantors: slices.Clone(record.Grantors),
+		votes:    map[cluster.NodeID]clock.Instant{},
+	}
+}
+
+// Grantors returns the grantors whose votes count.
+func (e *Election) Grantors() []cluster.NodeID { return e.grantors }
+
+// Add takes the vote of a grantor that arrived at the instant, with the remaining time that the
+// grantor measured.
+func (e *Election) Add(grantor cluster.NodeID, v Vote, now clock.Instant) {
+	if !v.Promised || !slices.Contains(e.grantors, grantor) {
+		return
+	}
+	counts := now.Add(RemainingOnAnyClock(v.Remaining))
+	if held, ok := e.votes[grantor]; !ok || counts < held {
+		e.votes[grantor] = counts
+	}
+}
+
+// WonAt returns when a majority of the votes counts, and false while too few have arrived. The empty
+// set can't vote: a holder without grantors has an unlimited lease.
+func (e *Election) WonAt() (clock.Instant, bool) {
+	quorum := RevocationQuorum(len(e.grantors))
+	if len(e.grantors) == 0 || len(e.votes) < quorum {
+		return 0, false
+	}
+	counts := make([]clock.Instant, 0, MaxGrantors)
+	for _, at := range e.votes {
+		counts = append(counts, at)
+	}
+	slices.Sort(counts)
+	return counts[quorum-1], true
+}
+
+// Delay returns how long the grantor waits before it revokes the holder, by its rank in the record.
+func Delay(record *cluster.Node, is func(cluster.NodeID) bool) time.Duration {
+	rank := max(0, slices.IndexFunc(record.Grantors, is))
+	return time.Duration(rank) * RankDelay
+}
--- /dev/null
+++ b/internal/lease/holder.go
@@ -0,0 +1,200 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/cluster"
+)
+
+// sentRenewals is the number of renewals remembered per grantor. Older ones can't extend the lease,
+// because their grants have run out.
+const sentRenewals = 8
+
+// Renewal is a renewal that has to be sent now.
+type Renewal struct {
+	Grantor  cluster.NodeID
+	Sequence uint64
+}
+
+// Grantors are the sets that a version of the node record names.
+type Grantors struct {
+	Current []cluster.NodeID
+	Next    []cluster.NodeID
+}
+
+// Holder tracks the lease of one incarnation of this node.
+type Holder struct {
+	confirmed Grantors
+	version   uint64
+	proposals []proposal
+	extra     []cluster.NodeID
+	sequence  uint64
+	grants    map[cluster.NodeID]*grantState
+	stopped   bool
+}
+
+// proposal is a write of the record whose outcome is not known yet.
+type proposal struct {
+	expect   uint64
+	grantors Grantors
+}
+
+type grantState struct {
+	sent      [sentRenewals]sentRenewal
+	since     clock.Instant
+	lastSent  clock.Instant
+	lastHeard clock.Instant
+	until     clock.Instant
+}
+
+type sentRenewal struct {
+	sequence uint64
+	at       clock.Instant
+}
+
+// NewHolder returns the holder for a record that was written at the given version.
+func NewHolder(version uint64, g Grantors) *Holder {
+	return &Holder{confirmed: g, version: version, grants: map[cluster.NodeID]*grantState{}}
+}
+
+// Propose says that a write of the record conditional on version expect is about to be sent. From
+// now on the lease needs the proposed sets too, until the outcome is known.
+func (h *Holder) Propose(expect uint64, g Grantors) {
+	h.proposals = append(h.proposals, proposal{expect: expect, grantors: g})
+}
+
+// Confirm takes the record as read at, or successfully written with, a version. A proposal that is
+// conditional on an older version can no longer take effect. One that is conditional on this very
+// version may still be on its way, so its sets stay required.
+func (h *Holder) Confirm(version uint64, g Grantors) {
+	if version < h.version {
+		return
+	}
+	h.version = version
+	h.confirmed = g
+	h.proposals = slices.DeleteFunc(h.proposals, func(p proposal) bool { return p.expect < version })
+}
+
+// Reject says that no write that is conditional on the version takes effect any more.
+func (h *Holder) Reject(expect uint64) {
+	h.proposals = slices.DeleteFunc(h.proposals, func(p proposal) bool { return p.expect == expect })
+}
+
+// Renew adds nodes that get renewals before any record names them, so that the lease does not
+// lapse at the moment when they become required.
+func (h *Holder) Renew(candidates []cluster.NodeID) { h.extra = candidates }
+
+// Stop ends the lease for good.
+func (h *Holder) Stop() { h.stopped = true }
+
+// Stopped reports whether Stop was called.
+func (h *Holder) Stopped() bool { return h.stopped }
+
+// Due returns the renewals to send now. The caller must send them after this call, not before:
+// the grants count from now.
+func (h *Holder) Due(now clock.Instant) []Renewal {
+	var due []Renewal
+	members := h.members()
+	for _, id := range members {
+		g := h.grants[id]
+		if g == nil {
+			g = &grantState{since: now}
+			h.grants[id] = g
+		} else if now.Sub(g.lastSent) < RenewalInterval {
+			continue
+		}
+		h.sequence++
+		g.lastSent = now
+		g.sent[h.sequence%sentRenewals] = sentRenewal{sequence: h.sequence, at: now}
+		due = append(due, Renewal{Grantor: id, Sequence: h.sequence})
+	}
+	for id := range h.grants {
+		if !slices.Contains(members, id) {
+			delete(h.grants, id)
+		}
+	}
+	return due
+}
+
+// Granted takes the answer to a renewal. It returns false for an answer that extends nothing.
+func (h *Holder) Granted(grantor cluster.NodeID, sequence uint64, now clock.Instant) bool {
+	g := h.grants[grantor]
+	if g == nil || sequence == 0 {
+		return false
+	}
+	sent := g.sent[sequence%sentRenewals]
+	if sent.sequence != sequence {
+		return false
+	}
+	g.lastHeard = now
+	until := sent.at.Add(GrantDuration)
+	if until <= g.until {
+		return false
+	}
+	g.until = until
+	return true
+}
+
+// End returns the instant at which the lease runs out.
+func (h *Holder) End() clock.Instant {
+	if h.stopped {
+		return 0
+	}
+	end := min(h.SetEnd(h.confirmed.Current), h.SetEnd(h.confirmed.Next))
+	for _, p := range h.proposals {
+		end = min(end, h.SetEnd(p.grantors.Current), h.SetEnd(p.grantors.Next))
+	}
+	return end
+}
+
+// SetEnd returns until when a majority of the set has granted the lease. An empty set is unlimited.
+func (h *Holder) SetEnd(set []cluster.NodeID) clock.Instant {
+	if len(set) == 0 {
+		return Unlimited
+	}
+	ends := make([]clock.Instant, 0, MaxGrantors)
+	for _, id := range set {
+		var until clock.Instant
+		if g := h.grants[id]; g != nil {
+			until = g.until
+		}
+		ends = append(ends, until)
+	}
+	slices.Sort(ends)
+	return ends[len(ends)-HolderQuorum(len(ends))]
+}
+
+// Unresponsive reports whether the node got renewals for at least the given time and answered none.
+func (h *Holder) Unresponsive(id cluster.NodeID, limit time.Duration, now clock.Instant) bool {
+	g := h.grants[id]
+	return g != nil && now.Sub(max(g.since, g.lastHeard)) >= limit
+}
+
+// Resume forgives silent grantors for the time that this node was paused.
+func (h *Holder) Resume(now clock.Instant) {
+	for _, g := range h.grants {
+		g.since = now
+	}
+}
+
+// members returns everybody who gets renewals, each once.
+func (h *Holder) members() []cluster.NodeID {
+	members := make([]cluster.NodeID, 0, 2*MaxGrantors)
+	add := func(ids []cluster.NodeID) {
+		for _, id := range ids {
+			if !slices.Contains(members, id) {
+				members = append(members, id)
+			}
+		}
+	}
+	add(h.confirmed.Current)
+	add(h.confirmed.Next)
+	for _, p := range h.proposals {
+		add(p.grantors.Current)
+		add(p.grantors.Next)
+	}
+	add(h.extra)
+	return members
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,304 @@
+package lease
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/cluster"
+)
+
+func node(i int) cluster.NodeID { return cluster.NodeID{Name: fmt.Sprintf("n%d", i), Incarnation: 1} }
+
+func ids(indexes ...int) []cluster.NodeID {
+	var set []cluster.NodeID
+	for _, i := range indexes {
+		set = append(set, node(i))
+	}
+	return set
+}
+
+// world runs a holder, five possible grantors and a candidate in virtual time. Each has a clock of its own rate.
+type world struct {
+	t        *rapid.T
+	now      time.Duration
+	rates    []float64
+	holder   *Holder
+	grantors []*Grantor
+	election *Election
+	renewals []Renewal
+	grants   []Renewal
+	votes    []func()
+	// record is the truth in the platform; writes are the conditional writes on their way to it.
+	record  cluster.Node
+	writes  []cluster.Node
+	revoked bool
+}
+
+const (
+	holderClock    = 5
+	candidateClock = 6
+)
+
+func (w *world) at(i int) clock.Instant { return clock.Instant(float64(w.now) * w.rates[i]) }
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: time.Hour}
+	for i := range 7 {
+		// Half a percent to both sides lets two clocks drift against each other by one percent.
+		w.rates = append(w.rates, 1+float64(rapid.IntRange(-497, 497).Draw(t, "drift"))/1e5)
+		if i < holderClock {
+			w.grantors = append(w.grantors, NewGrantor())
+			w.grantors[i].Adopt(node(i))
+		}
+	}
+	first := ids(0, 1, 2)[:rapid.IntRange(1, 3).Draw(t, "grantors")]
+	w.record = cluster.Node{ID: node(9), Version: 1, Grantors: first}
+	w.holder = NewHolder(1, Grantors{Current: first})
+	return w
+}
+
+func (w *world) index(id cluster.NodeID) int { return int(id.Name[1] - '0') }
+
+// take removes a random message, so that messages are reordered; it is lost if it is taken and not used.
+func take[T any](t *rapid.T, queue *[]T) (T, bool) {
+	var none T
+	if len(*queue) == 0 {
+		return none, false
+	}
+	i := rapid.IntRange(0, len(*queue)-1).Draw(t, "message")
+	m := (*queue)[i]
+	if rapid.IntRange(0, 9).Draw(t, "duplicate") > 0 {
+		*queue = slices.Delete(*queue, i, i+1)
+	}
+	return m, rapid.IntRange(0, 9).Draw(t, "lost") > 0
+}
+
+func (w *world) renew() { w.renewals = append(w.renewals, w.holder.Due(w.at(holderClock))...) }
+
+func (w *world) receiveRenewal() {
+	r, ok := take(w.t, &w.renewals)
+	if !ok {
+		return
+	}
+	if i := w.index(r.Grantor); w.grantors[i].Answer(r.Grantor, node(9), w.at(i)) {
+		w.grants = append(w.grants, r)
+	}
+}
+
+func (w *world) receiveGrant() {
+	if g, ok := take(w.t, &w.grants); ok {
+		w.holder.Granted(g.Grantor, g.Sequence, w.at(holderClock))
+	}
+}
+
+func (w *world) advance() {
+	w.now += time.Duration(rapid.IntRange(1, 200).Draw(w.t, "ms")) * time.Millisecond
+}
+
+func (w *world) pause() {
+	w.now += time.Duration(rapid.IntRange(200, 900).Draw(w.t, "ms")) * time.Millisecond
+}
+
+// change sends a write of other grantors. Its outcome stays unknown until the record is read.
+func (w *world) change() {
+	next := w.record.Clone()
+	next.Version = w.holder.version
+	if len(w.holder.confirmed.Next) > 0 {
+		next.Grantors, next.NextGrantors = w.holder.confirmed.Next, nil
+	} else {
+		next.Grantors, next.NextGrantors = w.holder.confirmed.Current, ids(2, 3, 4)[:rapid.IntRange(1, 3).Draw(w.t, "next")]
+	}
+	w.holder.Propose(next.Version, Grantors{Current: next.Grantors, Next: next.NextGrantors})
+	w.writes = append(w.writes, *next)
+}
+
+func (w *world) applyWrite() {
+	if write, ok := take(w.t, &w.writes); ok && !w.revoked && write.Version == w.record.Version {
+		write.Version++
+		w.record = write
+	}
+}
+
+func (w *world) readBack() {
+	if !w.revoked {
+		w.holder.Confirm(w.record.Version, Grantors{Current: w.record.Grantors, Next: w.record.NextGrantors})
+	}
+}
+
+func (w *world) startElection() {
+	w.election = NewElection(w.record.Clone())
+}
+
+func (w *world) vote() {
+	if w.election == nil {
+		return
+	}
+	i := w.index(rapid.SampledFrom(w.election.Grantors()).Draw(w.t, "voter"))
+	v := w.grantors[i].Vote(node(i), node(9), node(8), w.at(i))
+	election := w.election
+	w.votes = append(w.votes, func() { election.Add(node(i), v, w.at(candidateClock)) })
+}
+
+func (w *world) receiveVote() {
+	if add, ok := take(w.t, &w.votes); ok {
+		add()
+	}
+}
+
+func (w *world) revoke() {
+	if w.election == nil || w.election.Version != w.record.Version {
+		return
+	}
+	if at, won := w.election.WonAt(); won && at <= w.at(candidateClock) {
+		w.revoked = true
+	}
+}
+
+// repeat makes a common sequence of steps likely; single steps cover the unusual ones.
+func repeat(times int, steps ...func()) func() {
+	return func() {
+		for _, step := range steps {
+			for range times {
+				step()
+			}
+		}
+	}
+}
+
+// Guards against two owners at once: with lost, delayed, repeated and reordered messages, pauses,
+// clock drift and unknown outcomes of changes of grantors, no revocation succeeds while the holder
+// believes that its lease holds, and the holder never believes so again.
+func TestNoRevocationDuringLease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		exchange := repeat(4, w.receiveRenewal, w.receiveGrant)
+		elect := repeat(4, w.vote, w.receiveVote)
+		steps := []func(){w.renew, w.receiveRenewal, w.receiveGrant, w.advance, w.pause, w.change, w.applyWrite,
+			w.readBack, w.startElection, w.vote, w.receiveVote, w.revoke, w.revoke,
+			repeat(1, w.renew, exchange), repeat(1, w.renew, exchange), repeat(1, w.startElection, elect)}
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
+			steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")]()
+			if w.revoked && w.at(holderClock) < w.holder.End() {
+				t.Fatalf("the holder believes its lease until %v, now %v", w.holder.End(), w.at(holderClock))
+			}
+		}
+	})
+}
+
+// Guards against margins that are too small for clocks that drift against each other by one percent.
+func TestMarginsCoverDrift(t *testing.T) {
+	const slow, fast = 0.99503, 1.00497
+	holderEnds := float64(GrantDuration) / slow
+	require.Greater(t, float64(ExpiryWait)/fast, holderEnds)
+	for spent := time.Duration(0); spent < ExpiryWait; spent += time.Millisecond {
+		waited := float64(spent)/fast + float64(RemainingOnAnyClock(ExpiryWait-spent))/fast
+		require.Greater(t, waited, holderEnds)
+		require.Greater(t, float64(spent)/slow+float64(RemainingOnAnyClock(ExpiryWait-spent))/fast, holderEnds)
+	}
+}
+
+// Guards against a lease that lapses in normal operation or outlives its last grant.
+func TestLeaseFollowsSendTimes(t *testing.T) {
+	h := NewHolder(1, Grantors{Current: ids(0, 1, 2)})
+	due := h.Due(1000)
+	require.Len(t, due, 3)
+	require.True(t, h.Granted(due[0].Grantor, due[0].Sequence, 5000))
+	require.Zero(t, h.End(), "one grant is no majority")
+	h.Granted(due[2].Grantor, due[2].Sequence, 9000)
+	require.Equal(t, clock.Instant(1000).Add(GrantDuration), h.End())
+	h.Propose(1, Grantors{Current: ids(0, 1, 2), Next: ids(3)})
+	require.Zero(t, h.End(), "the proposed set is required before its outcome is known")
+	h.Reject(1)
+	require.NotZero(t, h.End())
+	h.Confirm(2, Grantors{Current: ids(0, 1, 2), Next: ids(3)})
+	require.Zero(t, h.End(), "the promotion of the next set may take effect without an answer")
+	h.Stop()
+	require.Zero(t, h.End())
+	require.Equal(t, Unlimited, NewHolder(1, Grantors{}).End())
+}
+
+// Guards against votes that stop a healthy holder which only the candidate can't hear, and against
+// mass revocation by a grantor that was paused itself.
+func TestHealthyHoldersKeepTheirLease(t *testing.T) {
+	g := NewGrantor()
+	g.Adopt(node(0))
+	start := clock.Instant(time.Hour)
+	g.Tick(start)
+	g.Follow(ids(9), func(cluster.NodeID) bool { return false }, start)
+	require.True(t, g.Answer(node(0), node(9), start))
+	require.False(t, g.Answer(node(1), node(9), start), "a renewal for another grantor")
+	require.False(t, g.Vote(node(0), node(9), node(8), start.Add(RenewalInterval)).Promised)
+	returned := start.Add(time.Minute)
+	g.Tick(returned)
+	require.False(t, g.Silent(node(9), 0, returned), "silence during a pause of the grantor")
+	require.True(t, g.Silent(node(9), 0, returned.Add(ExpiryWait)))
+	require.True(t, g.Vote(node(0), node(9), node(8), returned).Promised)
+	require.False(t, g.Answer(node(0), node(9), returned), "a promise is kept")
+}
+
+func fleet(t *rapid.T) []*cluster.Node {
+	var nodes []*cluster.Node
+	for i := range rapid.IntRange(1, 30).Draw(t, "nodes") {
+		nodes = append(nodes, &cluster.Node{ID: node(100 + i), State: cluster.Live, Location: cluster.Location{
+			Region:           fmt.Sprint("r", i%2),
+			AvailabilityZone: fmt.Sprint("z", i%4),
+			Rack:             fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "rack")),
+		}})
+	}
+	return nodes
+}
+
+// Guards against a zone, rack or region cut that takes a majority, and against changes of membership
+// that replace more grantors than they must.
+func TestGrantorsAreSpreadAndStable(t *testing.T) {
+	nobody := func(cluster.NodeID) bool { return false }
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := fleet(t)
+		self := nodes[0]
+		self.Grantors = Choose(self, nodes, nobody)
+		require.Len(t, self.Grantors, min(MaxGrantors, len(nodes)-1))
+		zones, home := map[string]bool{}, 0
+		for _, n := range nodes {
+			if slices.Contains(self.Grantors, n.ID) {
+				zones[n.Location.AvailabilityZone] = true
+				if n.Location.Region == self.Location.Region {
+					home++
+				}
+			}
+		}
+		if len(nodes) >= 8 {
+			require.Len(t, zones, 3)
+			require.Equal(t, 2, home)
+		}
+		lost := rapid.IntRange(1, max(1, len(nodes)-1)).Draw(t, "lost")
+		if lost < len(nodes) {
+			nodes[lost].State = cluster.Revoked
+			kept := 0
+			for _, id := range Choose(self, nodes, nobody) {
+				if slices.Contains(self.Grantors, id) {
+					kept++
+				}
+			}
+			require.GreaterOrEqual(t, kept, len(self.Grantors)-2)
+			if !slices.Contains(self.Grantors, nodes[lost].ID) {
+				require.Equal(t, len(self.Grantors), kept)
+			}
+		}
+	})
+}
+
+// Guards against a lease that needs a node which does not answer while others would.
+func TestSilentNodesAreAvoided(t *testing.T) {
+	self := &cluster.Node{ID: node(0), State: cluster.Live}
+	nodes := []*cluster.Node{self, {ID: node(1), State: cluster.Live}, {ID: node(2), State: cluster.Live}}
+	avoid := func(id cluster.NodeID) bool { return id == node(1) }
+	require.Equal(t, ids(2), Choose(self, nodes, avoid))
+	require.Equal(t, ids(1), Choose(self, nodes[:2], avoid))
+	require.Empty(t, Choose(self, nodes[:1], avoid))
+}
