--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -43,6 +43,7 @@
 
 type grantState struct {
 	sent      [sentRenewals]sentRenewal
+	count     int
 	since     clock.Instant
 	lastSent  clock.Instant
 	lastHeard clock.Instant
@@ -107,7 +108,8 @@
 		}
 		h.sequence++
 		g.lastSent = now
-		g.sent[h.sequence%sentRenewals] = sentRenewal{sequence: h.sequence, at: now}
+		g.sent[g.count%sentRenewals] = sentRenewal{sequence: h.sequence, at: now}
+		g.count++
 		due = append(due, Renewal{Grantor: id, Sequence: h.sequence})
 	}
 	for id := range h.grants {
@@ -124,12 +126,12 @@
 	if g == nil || sequence == 0 {
 		return false
 	}
-	sent := g.sent[sequence%sentRenewals]
-	if sent.sequence != sequence {
+	i := slices.IndexFunc(g.sent[:], func(r sentRenewal) bool { return r.sequence == sequence })
+	if i < 0 {
 		return false
 	}
 	g.lastHeard = now
-	until := sent.at.Add(GrantDuration)
+	until := g.sent[i].at.Add(GrantDuration)
 	if until <= g.until {
 		return false
 	}
