Serve a request from end to end with separate processes

Cause: the modules need an assembly that runs before they grow further.

Ruled out: waiting for the full entrance and coordinator; thin first versions of both show that the interfaces fit. Two detectors of a lost target; the announcement server is the only one now, and tells gate and control.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,7 +18,6 @@
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/routing"
-	"github.com/citronvane/citronvane/internal/target"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
@@ -40,14 +39,15 @@
 // Peers calls other nodes at the control addresses of their records.
 type Peers interface {
 	Vote(ctx context.Context, address string, r *wire.VoteRequest) (*wire.VoteResponse, error)
-	ImportIdentities(ctx context.Context, address string, batch *wire.IdentityBatch) (*wire.ImportResponse, error)
-	Notify(ctx context.Context, address string, changes *wire.Changes) error
+	// ImportIdentities returns nil after the node has accepted all records.
+	ImportIdentities(ctx context.Context, address string, batch *wire.IdentityBatch) error
+	Notify(ctx context.Context, address string, changes ...platform.Change) error
 }
 
 // Replica takes changes that this node wrote or read, ahead of the watch.
 type Replica interface {
-	// Apply must not block. It leads to a call of ViewChanged if anything is new.
-	Apply(changes []platform.Change)
+	// Feed must not block. It leads to a call of ViewChanged if anything is new.
+	Feed(changes ...platform.Change)
 }
 
 // Sender sends renewals. It must not block.
@@ -82,8 +82,11 @@
 	// view is the newest view; viewSignal says that it has not been handled yet.
 	view       atomic.Pointer[cluster.View]
 	viewSignal chan struct{}
-	left       chan struct{}
-	calls      sync.WaitGroup
+	// target is the newest state of this host's target; targetSignal says that it has not been handled yet.
+	target       atomic.Pointer[TargetChanged]
+	targetSignal chan struct{}
+	left         chan struct{}
+	calls        sync.WaitGroup
 	// handovers holds the cancel functions of running handovers. Only the control goroutine uses it.
 	handovers map[cluster.SliceID]context.CancelFunc
 	sender    Sender
@@ -92,12 +95,13 @@
 // New returns a control that does nothing before Run.
 func New(o Options) *Control {
 	c := &Control{
-		options:    o,
-		state:      newState(o.Identity, o.Planner, newSharedGrantor()),
-		events:     make(chan Event, queueLength),
-		viewSignal: make(chan struct{}, 1),
-		left:       make(chan struct{}),
-		handovers:  map[cluster.SliceID]context.CancelFunc{},
+		options:      o,
+		state:        newState(o.Identity, o.Planner, newSharedGrantor()),
+		events:       make(chan Event, queueLength),
+		viewSignal:   make(chan struct{}, 1),
+		targetSignal: make(chan struct{}, 1),
+		left:         make(chan struct{}),
+		handovers:    map[cluster.SliceID]context.CancelFunc{},
 	}
 	c.metrics = newMetrics(o.Clock, o.Lease)
 	return c
@@ -119,6 +123,8 @@
 			c.handle(ctx, e)
 		case <-c.viewSignal:
 			c.handle(ctx, ViewChanged{View: c.view.Load()})
+		case <-c.targetSignal:
+			c.handle(ctx, *c.target.Load())
 		case due := <-ticker.C:
 			c.metrics.lag(time.Since(due))
 			c.handle(ctx, Tick{})
@@ -161,8 +167,29 @@
 	}
 }
 
-// TargetAnnounced hands over an announcement of this host's target.
-func (c *Control) TargetAnnounced(a target.Announcement) { c.offer(TargetAnnounced{Announcement: a}) }
+// TargetAnnounced takes a target that is new, changed, leaving or back after a loss. Together with
+// TargetLost it implements target.Listener, which makes one call at a time.
+func (c *Control) TargetAnnounced(info cluster.TargetInfo, leaving bool) {
+	c.setTarget(&TargetChanged{Target: info, Leaving: leaving})
+}
+
+// TargetLost takes the loss of the target.
+func (c *Control) TargetLost() {
+	lost := TargetChanged{}
+	if last := c.target.Load(); last != nil {
+		lost = *last
+	}
+	lost.Target.Down = true
+	c.setTarget(&lost)
+}
+
+func (c *Control) setTarget(t *TargetChanged) {
+	c.target.Store(t)
+	select {
+	case c.targetSignal <- struct{}{}:
+	default:
+	}
+}
 
 // Renewal answers a renewal. It implements heartbeat.Handler.
 func (c *Control) Renewal(r *wire.Renewal) *wire.Grant {
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -4,10 +4,7 @@
 	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/citronvane/citronvane/internal/cluster"
-	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/lease"
 	"github.com/citronvane/citronvane/internal/wire"
@@ -25,9 +22,6 @@
 
 	// inFlightPoll is the resolution at which the end of the running requests of a slice is noticed.
 	inFlightPoll = 2 * time.Millisecond
-
-	// maxBatchBytes bounds a message with identity records.
-	maxBatchBytes = 1 << 20
 )
 
 // execute carries out an action without blocking.
@@ -53,7 +47,7 @@
 	case StopHandover:
 		c.stopHandover(a.Slice)
 	case Feed:
-		c.options.Replica.Apply(changesOf(a.Change))
+		c.options.Replica.Feed(a.Change)
 	case Notify:
 		c.notify(ctx, a)
 	case Log:
@@ -100,15 +94,12 @@
 }
 
 func (c *Control) notify(ctx context.Context, a Notify) {
-	changes := &wire.Changes{Revision: a.Change.Version, Changes: []*wire.Change{{
-		Kind: a.Change.Kind, Name: a.Change.Name, Version: a.Change.Version, Value: a.Change.Value,
-	}}}
 	for _, address := range a.Addresses {
 		c.start(func() {
 			callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
 			// A notification only saves time; the replica of the peer follows anyway.
-			_ = c.options.Peers.Notify(callCtx, address, changes)
+			_ = c.options.Peers.Notify(callCtx, address, a.Change)
 		})
 	}
 }
@@ -136,12 +127,13 @@
 	if err := c.awaitIdle(ctx, a.Move.Slice); err != nil {
 		return err
 	}
-	for _, batch := range batches(a, c.options.Gate.ExportIdentities(a.Move.Slice)) {
-		if err := c.sendBatch(ctx, a.Address, batch); err != nil {
-			return err
-		}
-	}
-	return nil
+	return c.options.Peers.ImportIdentities(ctx, a.Address, &wire.IdentityBatch{
+		Service:       a.Move.Slice.Service,
+		Slice:         int32(a.Move.Slice.Index),
+		Epoch:         a.Move.Epoch,
+		TakeoverAgeMs: a.TakeoverAge.Milliseconds(),
+		Identities:    c.options.Gate.ExportIdentities(a.Move.Slice),
+	})
 }
 
 func (c *Control) awaitIdle(ctx context.Context, slice cluster.SliceID) error {
@@ -157,44 +149,6 @@
 	return nil
 }
 
-func (c *Control) sendBatch(ctx context.Context, address string, batch *wire.IdentityBatch) error {
-	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	response, err := c.options.Peers.ImportIdentities(callCtx, address, batch)
-	if err != nil {
-		return err
-	}
-	if !response.GetAccepted() {
-		return errs.New(errs.Unavailable, "Check the memory limits of the next owner.",
-			"the next owner did not accept the identity records")
-	}
-	return nil
-}
-
-// batches splits the records into messages below the bound. There is always at least one, because the
-// next owner learns the age of the last takeover from it.
-func batches(a StartHandover, records []*wire.Identity) []*wire.IdentityBatch {
-	newBatch := func() *wire.IdentityBatch {
-		return &wire.IdentityBatch{
-			Service: a.Move.Slice.Service, Slice: int32(a.Move.Slice.Index), Epoch: a.Move.Epoch,
-			TakeoverAgeMs: a.TakeoverAge.Milliseconds(),
-		}
-	}
-	batch, size := newBatch(), 0
-	all := []*wire.IdentityBatch{batch}
-	for _, record := range records {
-		// Tag and length of the field take at most 5 bytes below the bound.
-		bytes := proto.Size(record) + 5
-		if size > 0 && size+bytes > maxBatchBytes {
-			batch, size = newBatch(), 0
-			all = append(all, batch)
-		}
-		batch.Identities = append(batch.Identities, record)
-		size += bytes
-	}
-	return all
-}
-
 func (c *Control) log(a Log) {
 	line := a.Event.On(c.options.Log).Str("subject", a.Subject)
 	if a.Err != nil {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -10,7 +10,6 @@
 	"github.com/citronvane/citronvane/internal/lease"
 	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/routing"
-	"github.com/citronvane/citronvane/internal/target"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
@@ -28,8 +27,11 @@
 		Holder, Grantor cluster.NodeID
 		Sequence        uint64
 	}
-	// TargetAnnounced is an announcement of this host's target.
-	TargetAnnounced struct{ Announcement target.Announcement }
+	// TargetChanged says that this host's target is new, changed, leaving, lost (Down) or back.
+	TargetChanged struct {
+		Target  cluster.TargetInfo
+		Leaving bool
+	}
 	// ReadDone is the outcome of Read.
 	ReadDone struct {
 		Key    Key
@@ -67,7 +69,7 @@
 func (Tick) isEvent()               {}
 func (ViewChanged) isEvent()        {}
 func (GrantReceived) isEvent()      {}
-func (TargetAnnounced) isEvent()    {}
+func (TargetChanged) isEvent()      {}
 func (ReadDone) isEvent()           {}
 func (WriteDone) isEvent()          {}
 func (VoteReceived) isEvent()       {}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -10,7 +10,6 @@
 
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/routing"
 )
 
@@ -78,5 +77,3 @@
 		m.revocations.Add(context.Background(), 1)
 	}
 }
-
-func changesOf(c platform.Change) []platform.Change { return []platform.Change{c} }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -5,9 +5,7 @@
 
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/cluster"
-	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/routing"
-	"github.com/citronvane/citronvane/internal/target"
 )
 
 // takeover is when this node learned that the record epoch of a slice changed.
@@ -127,37 +125,13 @@
 	return s.draining && (s.now.Sub(s.drainAt) >= newWorkGrace || len(s.owned) == 0)
 }
 
-func (s *state) targetAnnounced(a target.Announcement) {
-	announced := cluster.TargetInfo{
-		Service: a.Service, Address: a.Address, Incarnation: a.Incarnation,
-		Fenced: a.Fenced, Slots: a.Slots, Connections: a.Connections,
-	}
-	s.announceAt = s.now
-	s.announceGap = false
-	s.leaving = a.Leaving
-	if announced == s.target {
-		return
-	}
-	if s.target.Incarnation != a.Incarnation || s.target.Down {
-		s.do(Log{Event: event.TargetSeen, Subject: a.Address})
-	}
-	s.target = announced
-	s.republish = true
-}
-
-// checkTarget notices that the target stopped announcing itself. A pause of this process delays the
-// announcements too; then the time starts anew.
-func (s *state) checkTarget() {
-	if s.announceGap {
-		s.announceGap = false
-		s.announceAt = s.now
-	}
-	if s.target.Address == "" || s.target.Down || s.now.Sub(s.announceAt) < targetTimeout {
+func (s *state) targetChanged(e TargetChanged) {
+	s.leaving = e.Leaving
+	if e.Target == s.target {
 		return
 	}
-	s.target.Down = true
+	s.target = e.Target
 	s.republish = true
-	s.do(Log{Event: event.TargetLost, Subject: s.target.Address})
 }
 
 // announcedTarget is the target as the node's record shows it. A target that leaves counts as down
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -34,9 +34,6 @@
 	// replanInterval lets the planner act on the passing of time.
 	replanInterval = 100 * time.Millisecond
 
-	// targetTimeout is the absence after which a target counts as lost.
-	targetTimeout = 500 * time.Millisecond
-
 	// departGrace is how long a node that leaves waits for its holders to replace it as grantor. Two
 	// changes of the record and the spread before them fit into it.
 	departGrace = 5 * time.Second
@@ -89,9 +86,8 @@
 	takeovers   map[cluster.SliceID]takeover
 	owned       map[cluster.SliceID]ownership
 
-	target     cluster.TargetInfo
-	announceAt clock.Instant
-	leaving    bool
+	target  cluster.TargetInfo
+	leaving bool
 
 	draining  bool
 	drainAt   clock.Instant
@@ -103,8 +99,7 @@
 	replan    bool
 	republish bool
 	// refusing is Draining as last published.
-	refusing    bool
-	announceGap bool
+	refusing bool
 }
 
 type ownRecord struct {
@@ -140,8 +135,8 @@
 		s.grantReceived(e)
 		s.publishLease()
 		return s.actions
-	case TargetAnnounced:
-		s.targetAnnounced(e.Announcement)
+	case TargetChanged:
+		s.targetChanged(e)
 	case ReadDone:
 		s.readDone(e)
 	case WriteDone:
@@ -172,7 +167,6 @@
 		return
 	}
 	s.lapsedAt = 0
-	s.announceGap = true
 	if h := s.currentHolder(); h != nil {
 		h.Resume(now)
 	}
@@ -186,7 +180,6 @@
 	if s.view == nil || s.departed {
 		return
 	}
-	s.checkTarget()
 	s.checkZone()
 	s.publishLease()
 	s.retryReads()
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -11,9 +11,6 @@
 	GrantorsChanging = register(Event{3103, log.InfoLevel, "the node changes its grantors", ""})
 	PlatformFailed   = register(Event{3104, log.WarnLevel, "a call to the platform failed",
 		"Check the platform; traffic continues, and the call is repeated."})
-	TargetLost = register(Event{3105, log.WarnLevel, "the target stopped announcing itself",
-		"Check the target on this host."})
-	TargetSeen     = register(Event{3106, log.InfoLevel, "the target announced itself", ""})
 	HandoverFailed = register(Event{3107, log.WarnLevel, "identity records could not be handed over", "Check the network to the next owner."})
 	RecordsDropped = register(Event{3108, log.WarnLevel, "a slice is handed over without its identity records",
 		"Callers get repeat_unknown for opaque keys until the retention is over."})
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/buildinfo"
+	"github.com/citronvane/citronvane/internal/peer"
+	"github.com/citronvane/citronvane/internal/wire"
+)
+
+// backend carries out the control calls of other nodes.
+type backend struct{ n *Node }
+
+func (b backend) Vote(_ context.Context, r *wire.VoteRequest) (*wire.VoteResponse, error) {
+	return b.n.control.Vote(r), nil
+}
+
+func (b backend) ImportIdentities(_ context.Context, batch *wire.IdentityBatch) (*wire.ImportResponse, error) {
+	return &wire.ImportResponse{Accepted: b.n.control.ImportIdentities(batch)}, nil
+}
+
+func (b backend) ReportPoison(_ context.Context, r *wire.PoisonReport) (*wire.PoisonResponse, error) {
+	b.n.gate.ReportPoison(r)
+	return &wire.PoisonResponse{}, nil
+}
+
+func (b backend) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
+	status := b.n.control.Status()
+	status.Version = buildinfo.Version()
+	return status, nil
+}
+
+var _ peer.Backend = backend{}
+
+// heard takes what a heartbeat says about its sender.
+func (n *Node) heard(name string, revision uint64, retryPermille uint32) {
+	n.follower.HeardRevision(name, revision)
+	n.entrance.HeardRetryPermille(name, retryPermille)
+}
+
+// sharePoison sends a report of this node to all nodes of the same service. Crashes are rare, so that
+// the calls need no tree.
+func (n *Node) sharePoison(report *wire.PoisonReport) {
+	snapshot := n.table.Load()
+	for _, node := range snapshot.View.Nodes {
+		if node.Gone() || node.ID.Name == n.settings.Node.Name || node.Target.Service != snapshot.Target.Service {
+			continue
+		}
+		address := node.Addresses.Control
+		n.background.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_ = n.peers.ReportPoison(ctx, address, report) // A node that is not reached learns by its own crash.
+		})
+	}
+}
