--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -80,6 +80,7 @@
 	}
 	response, err := call.stream.awaitHead()
 	if err != nil {
+		call.stop()
 		call.abort(err)
 		return nil, fmt.Errorf("relay: no answer from %s: %w", address, err)
 	}
@@ -117,7 +118,7 @@
 type call struct {
 	conn   *clientConn
 	stream *stream
-	stop   func() bool
+	stop   func() bool // only for the goroutine that called Do
 	once   sync.Once
 }
 
@@ -132,6 +133,7 @@
 
 // Close gives the answer up if it is not whole.
 func (c *call) Close() error {
+	c.stop()
 	c.abort(io.ErrClosedPipe)
 	c.stream.discard()
 	return nil
@@ -140,7 +142,6 @@
 // abort ends the stream and tells the server unless the stream has ended already.
 func (c *call) abort(err error) {
 	c.once.Do(func() {
-		c.stop()
 		// The identity is settled after fail, which passes the lock that start holds.
 		c.stream.fail(err)
 		if c.conn.remove(c.stream.id) {
--- a/internal/relay/clientconn.go
+++ b/internal/relay/clientconn.go
@@ -159,6 +159,7 @@
 
 // probe looks after a connection that has been silent.
 func (c *clientConn) probe(silent time.Duration) error {
+	c.out.trim()
 	if c.load() == 0 {
 		if silent >= maxIdle || c.isRetired() {
 			return errs.New(errs.Unavailable, "", "the connection is idle")
--- a/internal/relay/outbox.go
+++ b/internal/relay/outbox.go
@@ -11,8 +11,6 @@
 	softPending = 1 << 20
 	// hardPending bounds what control frames, which never wait, may add for a peer that reads nothing.
 	hardPending = softPending + 2<<20
-	// keepCapacity is the largest buffer that an idle connection keeps.
-	keepCapacity = 64 << 10
 )
 
 // outbox collects frames until the connection writes them, several at a time under load.
@@ -22,6 +20,7 @@
 	pending   []byte
 	spare     []byte
 	scheduled bool
+	used      bool // since the last trim
 	err       error
 	lastID    uint32 // identity of the last stream that start sent
 	// kick asks the connection to call take. It is called without the lock, and not again before take.
@@ -112,9 +111,7 @@
 		return nil, o.err
 	}
 	taken := o.pending
-	if cap(o.spare) > keepCapacity {
-		o.spare = nil
-	}
+	o.used = true
 	o.pending = o.spare[:0]
 	o.spare = taken
 	if len(taken) > 0 {
@@ -123,6 +120,17 @@
 	return taken, nil
 }
 
+// trim frees the buffers of a connection that sent nothing since the last call. Buffers that are
+// kept under load save most of the allocations of large bodies.
+func (o *outbox) trim() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.used && len(o.pending) == 0 {
+		o.pending, o.spare = nil, nil
+	}
+	o.used = false
+}
+
 // size returns the number of bytes that wait for the connection.
 func (o *outbox) size() int {
 	o.mu.Lock()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 	"github.com/phuslu/log"
 	"golang.org/x/sys/unix"
 	"golang.org/x/time/rate"
@@ -22,6 +21,8 @@
 	eventLoops = 2
 	// keepAlive lets the kernel find peers that vanished without closing.
 	keepAlive = 5 * time.Second
+	// trimInterval is how often the buffers of idle connections are freed.
+	trimInterval = time.Second
 	// drainPoll is how often Close looks whether the streams have finished.
 	drainPoll = 5 * time.Millisecond
 )
@@ -45,8 +46,10 @@
 	stopped chan error
 	limit   rate.Sometimes
 
-	draining atomic.Bool
-	handlers sync.WaitGroup
+	draining  atomic.Bool
+	closeOnce sync.Once
+	closeErr  error
+	handlers  sync.WaitGroup
 
 	mu    sync.Mutex
 	conns map[*serverConn]struct{}
@@ -65,9 +68,10 @@
 		s.stopped <- gnet.Run(s, "tcp://"+opts.Address,
 			gnet.WithNumEventLoop(eventLoops),
 			gnet.WithReuseAddr(true),
+			gnet.WithTicker(true),
 			gnet.WithTCPKeepAlive(keepAlive),
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-			gnet.WithLogLevel(logging.FatalLevel))
+			gnet.WithLogger(engineLog{opts.Logger}))
 	}()
 	select {
 	case <-s.booted:
@@ -135,6 +139,14 @@
 	return gnet.None
 }
 
+// OnTick frees the buffers of idle connections.
+func (s *Server) OnTick() (time.Duration, gnet.Action) {
+	for _, conn := range s.connections() {
+		conn.out.trim()
+	}
+	return trimInterval, gnet.None
+}
+
 // OnClose ends the streams of the connection.
 func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
 	conn, ok := c.Context().(*serverConn)
@@ -154,9 +166,15 @@
 	})
 }
 
-// Close takes no new streams, waits until the running ones have finished or ctx ends, and closes the
-// connections. It returns ctx.Err() if it cut streams off.
+// Close stops the server; later calls return the outcome of the first.
 func (s *Server) Close(ctx context.Context) error {
+	s.closeOnce.Do(func() { s.closeErr = s.close(ctx) })
+	return s.closeErr
+}
+
+// close takes no new streams, waits until the running ones have finished or ctx ends, and closes the
+// connections. It returns ctx.Err() if it cut streams off.
+func (s *Server) close(ctx context.Context) error {
 	s.draining.Store(true)
 	for _, conn := range s.connections() {
 		_ = conn.out.control(frame{kind: kindGoAway}) // A lost connection has no streams.
