Add the retry budget and the pauses between attempts

Cause: retries of many entrances can multiply the load of a fleet in trouble. Change: a budget in which each retry spends from the share and from the floor; the fleet-wide ratio lowers the share; full jitter up to 200 ms within the deadline.

--- /dev/null
+++ b/internal/retry/retry.go
@@ -0,0 +1,129 @@
+// Package retry decides whether and when a request is sent again. It performs
+// no I/O and takes the time as an argument.
+package retry
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/citronvane/citronvane/internal/clock"
+)
+
+const (
+	// BudgetRatio is the share of requests that may be sent again. It bounds the extra load on a
+	// fleet in trouble to a tenth.
+	BudgetRatio = 0.10
+	// BudgetFloor is the number of retries a second that a node may always make, so that a node with
+	// few callers can ride out a takeover.
+	BudgetFloor = 10
+	// averaging is the time constant of the rates of requests and retries.
+	averaging = 10 * time.Second
+)
+
+// Budget bounds the retries of a node to the larger of BudgetRatio and BudgetFloor. It is safe for
+// concurrent use.
+type Budget struct {
+	floor *rate.Limiter
+
+	mu       sync.Mutex
+	last     clock.Instant
+	share    float64 // earned by requests, spent by retries
+	fleet    float64
+	requests float64 // decaying counts
+	retries  float64
+}
+
+// NewBudget returns a budget that may make the floor of retries at once.
+func NewBudget(now clock.Instant) *Budget {
+	return &Budget{last: now, floor: rate.NewLimiter(BudgetFloor, BudgetFloor)}
+}
+
+// Request records a request of a caller, which earns a share of a retry.
+func (b *Budget) Request(now clock.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.decay(now)
+	b.requests++
+	b.share = min(b.share+BudgetRatio*b.scale(), b.burst())
+}
+
+// Allow reports whether a request may be sent again, and spends the budget for it. A retry spends
+// from both parts, so that the larger one is the bound and not their sum.
+func (b *Budget) Allow(now clock.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.decay(now)
+	allowed := b.floor.AllowN(time.Unix(0, int64(now)), 1)
+	if b.share >= 1 {
+		b.share--
+		allowed = true
+	}
+	if allowed {
+		b.retries++
+	}
+	return allowed
+}
+
+// SetFleetRatio sets the ratio of retries to requests in the whole fleet. Above BudgetRatio it lowers
+// what requests earn; the floor stays.
+func (b *Budget) SetFleetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fleet = ratio
+}
+
+// Ratio returns the ratio of retries to requests of this node over the last seconds.
+func (b *Budget) Ratio(now clock.Instant) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.decay(now)
+	if b.requests < 1 {
+		return 0
+	}
+	return b.retries / b.requests
+}
+
+func (b *Budget) scale() float64 {
+	if b.fleet <= BudgetRatio {
+		return 1
+	}
+	return BudgetRatio / b.fleet
+}
+
+// burst keeps at most one second's share, so that quiet minutes don't pay for a storm.
+func (b *Budget) burst() float64 {
+	return max(1, b.requests/averaging.Seconds()*BudgetRatio)
+}
+
+func (b *Budget) decay(now clock.Instant) {
+	elapsed := now.Sub(b.last)
+	if elapsed <= 0 {
+		return
+	}
+	b.last = now
+	factor := math.Exp(-elapsed.Seconds() / averaging.Seconds())
+	b.requests *= factor
+	b.retries *= factor
+}
+
+const (
+	// firstPause is the ceiling of the first pause; another node often answers at once.
+	firstPause = 5 * time.Millisecond
+	// longestPause is the ceiling of all pauses. It is well below the time of a takeover.
+	longestPause = 200 * time.Millisecond
+	// maxDoubling is where firstPause has long passed longestPause.
+	maxDoubling = 8
+)
+
+// Pause returns the pause before a retry (attempt 1 is the first one), with full jitter. It returns
+// false if the pause would not end before the deadline, which is left away.
+func Pause(attempt int, left time.Duration) (time.Duration, bool) {
+	doubling := min(max(attempt-1, 0), maxDoubling)
+	ceiling := min(firstPause<<doubling, longestPause)
+	pause := time.Duration(rand.Int64N(int64(ceiling) + 1))
+	return pause, pause < left
+}
