--- /dev/null
+++ b/internal/outlier/hedge.go
@@ -0,0 +1,98 @@
+package outlier
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/citronvane/citronvane/internal/clock"
+)
+
+const (
+	// HedgeRatio is the share of requests that may be sent a second time while the first copy runs.
+	HedgeRatio = 0.05
+	// hedgeBurst is how many hedges may follow each other at once.
+	hedgeBurst = 10
+	// hedgeQuantile is the latency after which a request counts as slow.
+	hedgeQuantile = 95
+	// windowLength is the time over which latencies are collected; the last two windows count.
+	windowLength = 10 * time.Second
+	// minHedgeSamples is the number of answers before the p95 is trusted.
+	minHedgeSamples = 20
+	// longestLatency bounds the histogram; no request runs longer.
+	longestLatency = time.Minute
+)
+
+// Hedge says when requests of one service are hedged. It is safe for concurrent use.
+type Hedge struct {
+	mu      sync.Mutex
+	tokens  float64
+	started clock.Instant
+	current *hdrhistogram.Histogram
+	last    *hdrhistogram.Histogram
+}
+
+// NewHedge returns a hedge without latencies.
+func NewHedge(now clock.Instant) *Hedge {
+	return &Hedge{started: now, current: newHistogram(), last: newHistogram()}
+}
+
+// newHistogram counts microseconds with two digits, which takes about 10 KB.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longestLatency.Microseconds(), 2)
+}
+
+// Observe records the latency of an answer.
+func (h *Hedge) Observe(latency time.Duration, now clock.Instant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rotate(now)
+	_ = h.current.RecordValue(min(max(latency, 0), longestLatency).Microseconds()) // In range by the bounds.
+}
+
+// Request records a request, which earns a share of a hedge.
+func (h *Hedge) Request() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tokens = min(h.tokens+HedgeRatio, hedgeBurst)
+}
+
+// Allow reports whether the budget bears a hedge, and spends it.
+func (h *Hedge) Allow() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.tokens < 1 {
+		return false
+	}
+	h.tokens--
+	return true
+}
+
+// Delay returns the time after which a request is hedged. It returns false while too few latencies are known.
+func (h *Hedge) Delay(now clock.Instant) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rotate(now)
+	known := h.current
+	if known.TotalCount() < minHedgeSamples {
+		known = h.last
+	}
+	if known.TotalCount() < minHedgeSamples {
+		return 0, false
+	}
+	return time.Duration(known.ValueAtQuantile(hedgeQuantile)) * time.Microsecond, true
+}
+
+func (h *Hedge) rotate(now clock.Instant) {
+	age := now.Sub(h.started)
+	if age < windowLength {
+		return
+	}
+	h.current, h.last = h.last, h.current
+	h.current.Reset()
+	if age >= 2*windowLength {
+		h.last.Reset()
+	}
+	h.started = now
+}
