--- a/internal/relay/serverconn.go
+++ b/internal/relay/serverconn.go
@@ -278,16 +278,3 @@
 	}
 	_ = c.out.control(frame{last, w.stream.id, nil})
 }
-
-func refusal(r *answer.Refusal) (*wire.ResponseHead, []byte) {
-	body := r.Body()
-	if len(body) > maxData {
-		body = (&answer.Refusal{Kind: r.Kind, RetryAfter: r.RetryAfter}).Body()
-	}
-	properties, _ := answer.Of(r.Kind)
-	return &wire.ResponseHead{
-		Status:        int32(properties.Status),
-		Headers:       FromHTTP(r.Headers()),
-		ContentLength: int64(len(body)),
-	}, body
-}
