--- a/internal/entrance/entrance.go
+++ b/internal/entrance/entrance.go
@@ -1,140 +1,129 @@
-// Package entrance serves callers over HTTP.
+// Package entrance takes the HTTP requests of callers, finds the node that
+// serves them, and brings back the answers. It never checks ownership; the gate
+// of the chosen node does.
 package entrance
 
 import (
 	"context"
-	"errors"
-	"io"
-	"math/rand/v2"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/time/rate"
 
 	"github.com/citronvane/citronvane/internal/answer"
-	"github.com/citronvane/citronvane/internal/cluster"
-	"github.com/citronvane/citronvane/internal/config"
+	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/relay"
+	"github.com/citronvane/citronvane/internal/retry"
 	"github.com/citronvane/citronvane/internal/routing"
-	"github.com/citronvane/citronvane/internal/wire"
 )
 
-// Options are the parts that the entrance works with.
+const (
+	healthPath = "/healthz"
+	tokenPath  = "/v1/tokens"
+)
+
+// Options configures a Handler.
 type Options struct {
-	Node             string
+	// Name is the name of this node, which requests carry as their entrance.
+	Name string
+	// AvailabilityZone is the one of this node. Its targets are preferred among equals.
 	AvailabilityZone string
 	Table            *routing.Table
 	Relay            relay.Doer
-	Local            relay.Handler
-	Logger           *log.Logger
+	// Gate serves the requests whose node is this one.
+	Gate   relay.Handler
+	Clock  clock.Clock
+	Budget *retry.Budget
+	Logger *log.Logger
 }
 
-// Entrance is the handler for callers.
-type Entrance struct{ Options }
-
-// New returns an entrance.
-func New(o Options) *Entrance { return &Entrance{Options: o} }
-
-// RetryPermille returns the retry ratio; this first version never retries.
-func (e *Entrance) RetryPermille() uint32 { return 0 }
+// Handler is the http.Handler for callers.
+type Handler struct {
+	opts     Options
+	local    localDoer
+	tracer   trace.Tracer
+	metrics  *metrics
+	limit    rate.Sometimes
+	inFlight sync.Map // node name to *atomic.Int64
+	services sync.Map // service name to *serviceState
+	pools    atomic.Pointer[poolIndex]
+}
 
-// HeardRetryPermille takes the retry ratio of another node.
-func (e *Entrance) HeardRetryPermille(string, uint32) {}
+// New returns a handler.
+func New(opts Options) (*Handler, error) {
+	m, err := newMetrics()
+	if err != nil {
+		return nil, err
+	}
+	return &Handler{
+		opts:    opts,
+		local:   localDoer{gate: opts.Gate},
+		tracer:  otel.Tracer("citronvane/entrance"),
+		metrics: m,
+		limit:   rate.Sometimes{Interval: time.Second},
+	}, nil
+}
 
-// ServeHTTP sends the request to its owner.
-func (e *Entrance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/healthz" {
-		w.WriteHeader(http.StatusOK)
+// ServeHTTP answers one request of a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == healthPath && r.Method == http.MethodGet {
+		h.health(w)
 		return
 	}
-	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := otel.Tracer("citronvane/entrance").Start(ctx, "entrance")
+	started := time.Now()
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := h.tracer.Start(ctx, "entrance", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	view := e.Table.Load().View
-	routed, err := view.Configuration.Document.Route(r)
-	if err != nil {
-		answer.As(err).Write(w)
-		return
+	h.opts.Budget.Request(h.opts.Clock.Now())
+
+	q, refusal := h.read(w, r)
+	service := ""
+	if q != nil {
+		service = q.routed.Service
 	}
-	node, head, refusal := e.choose(view, routed, r)
+	// The measurement is deferred because a truncated answer ends the handler with a panic.
+	kind := kindTruncated
+	defer func() {
+		span.SetAttributes(attribute.String("service", service), attribute.String("answer", kind))
+		h.metrics.request(ctx, service, kind, time.Since(started))
+	}()
 	if refusal != nil {
+		kind = string(refusal.Kind)
 		refusal.Write(w)
 		return
 	}
-	carrier := propagation.MapCarrier{}
-	otel.GetTextMapPropagator().Inject(ctx, carrier)
-	head.Traceparent = carrier["traceparent"]
-	e.send(ctx, w, r, node, head)
+	// The node gets the time until the deadline; its answer about the deadline needs a little longer.
+	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(answerGrace))
+	defer cancel()
+	defer q.body.close()
+	result := h.perform(ctx, q)
+	defer result.close()
+	kind = h.deliver(w, r, q, result)
 }
 
-func (e *Entrance) choose(view *cluster.View, routed config.Routed, r *http.Request) (*cluster.Node, *wire.RequestHead, *answer.Refusal) {
-	head := &wire.RequestHead{
-		Service: routed.Service, Key: routed.Key, Slice: -1, Method: r.Method, Path: r.URL.RequestURI(),
-		TimeoutMs: routed.Spec.MaxRequest.Std().Milliseconds(), Priority: string(routed.Priority),
-		IdempotencyKey: r.Header.Get("Idempotency-Key"), ContentLength: r.ContentLength, Entrance: e.Node,
-	}
-	for name, values := range r.Header {
-		for _, value := range values {
-			head.Headers = append(head.Headers, &wire.Header{Name: name, Value: value})
-		}
-	}
-	if routed.Spec.Kind == config.Keyed {
-		id := cluster.SliceOf(routed.Service, routed.Key, routed.Spec.Slices)
-		slice, _ := view.Slice(id)
-		head.Slice, head.Epoch = int32(id.Index), slice.Epoch
-		owner := view.Node(slice.Owner)
-		if owner == nil || owner.Gone() {
-			return nil, nil, answer.Refuse(answer.NoOwner, "slice %s has no live owner", id).After(100 * time.Millisecond)
-		}
-		return owner, head, nil
-	}
-	var nodes []*cluster.Node
-	for _, n := range view.Nodes {
-		if n.Serves(routed.Service) {
-			nodes = append(nodes, n)
-		}
-	}
-	if len(nodes) == 0 {
-		return nil, nil, answer.Refuse(answer.NoOwner, "service %s has no live target", routed.Service)
-	}
-	return nodes[rand.IntN(len(nodes))], head, nil
-}
-
-func (e *Entrance) send(ctx context.Context, w http.ResponseWriter, r *http.Request, node *cluster.Node, head *wire.RequestHead) {
-	request := &relay.Request{Head: head, Body: r.Body}
-	if node.ID == e.Table.Load().Self {
-		local := &writer{w}
-		if err := e.Local.ServeRelay(ctx, request, local); err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		return
-	}
-	response, err := e.Relay.Do(ctx, node.Addresses.Relay, request)
-	if errors.Is(err, relay.ErrNotSent) {
-		answer.Refuse(answer.NoOwner, "node %s can't be reached", node.ID.Name).Write(w)
-		return
-	}
-	if err != nil {
-		answer.Refuse(answer.OutcomeUnknown, "node %s did not answer", node.ID.Name).Write(w)
+// health tells load balancers in front whether to send new callers here.
+func (h *Handler) health(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if h.opts.Table.Load().Draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte("draining\n")) // A prober that is gone needs no answer.
 		return
 	}
-	defer func() { _ = response.Body.Close() }()
-	out := &writer{w}
-	_ = out.WriteHead(response.Head)
-	if _, err := io.Copy(w, response.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
+	_, _ = w.Write([]byte("ok\n"))
 }
 
-// writer adapts an HTTP answer to the relay's interface.
-type writer struct{ http.ResponseWriter }
-
-func (w *writer) WriteHead(head *wire.ResponseHead) error {
-	for _, h := range head.GetHeaders() {
-		w.Header().Add(h.GetName(), h.GetValue())
+// read turns an HTTP request into a request for a service.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*request, *answer.Refusal) {
+	document := &h.opts.Table.Load().View.Configuration.Document
+	if r.URL.Path == tokenPath && r.Method == http.MethodPost {
+		return readToken(document, w, r)
 	}
-	w.WriteHeader(int(head.GetStatus()))
-	return nil
+	return readRequest(document, w, r)
 }
