--- a/internal/replica/feed.go
+++ b/internal/replica/feed.go
@@ -29,7 +29,7 @@
 	pending atomic.Int64
 	// backlog is what the follower lacked when it subscribed.
 	backlog []Batch
-	err     error // read after batches is closed
+	cut     chan struct{}
 }
 
 // Subscribe starts a feed of all changes after the revision. Since 0 gives the complete list: all
@@ -44,6 +44,7 @@
 	f := &Feed{
 		replica: r,
 		batches: make(chan Batch, feedBatches),
+		cut:     make(chan struct{}),
 		backlog: r.newerThan(since),
 	}
 	r.feeds[f] = struct{}{}
@@ -101,14 +102,15 @@
 	return backlog
 }
 
-// Batches returns the channel of later batches. It is closed when the follower is too slow.
+// Batches returns the channel of later batches.
 func (f *Feed) Batches() <-chan Batch { return f.batches }
 
 // Taken tells the feed that the follower has received the batch.
 func (f *Feed) Taken(b Batch) { f.pending.Add(-batchBytes(b)) }
 
-// Err returns why the channel of batches was closed.
-func (f *Feed) Err() error { return f.err }
+// Cut returns a channel that is closed when the follower is too slow. The feed gets nothing more
+// then, and the follower has to resume by its revision.
+func (f *Feed) Cut() <-chan struct{} { return f.cut }
 
 // Close ends the feed.
 func (f *Feed) Close() {
@@ -133,9 +135,7 @@
 	for _, part := range parts {
 		size := batchBytes(part)
 		if len(f.batches) == cap(f.batches) || f.pending.Load()+size > feedBytes {
-			f.err = errs.New(errs.Unavailable, "Follow again from the revision that was reached.",
-				"the follower is too slow: %d batches wait", len(f.batches))
-			close(f.batches)
+			close(f.cut)
 			delete(r.feeds, f)
 			return
 		}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -40,6 +40,7 @@
 
 	mu             sync.Mutex
 	platformFailed bool
+	current        string
 	failedUntil    map[string]time.Time
 	revisions      map[string]uint64
 	behind         behindMark
@@ -126,6 +127,9 @@
 
 // followWhileBest follows the source until it fails or another one is better; the error is nil then.
 func (f *Follower) followWhileBest(ctx context.Context, source Source) error {
+	f.mu.Lock()
+	f.current = source.Peer
+	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan error, 1)
@@ -171,6 +175,7 @@
 		PlatformFailed: f.platformFailed,
 		Failed:         map[string]bool{},
 		Revisions:      make(map[string]uint64, len(f.revisions)),
+		Current:        f.current,
 		Seeds:          f.seeds,
 	}
 	for address, until := range f.failedUntil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -74,7 +74,7 @@
 func (r *Replica) Feed(changes ...platform.Change) { r.Apply(Batch{Changes: changes}) }
 
 // Replace adds a complete list of the objects as of the revision. Objects that the list lacks were
-// deleted, unless the replica holds a version newer than the list.
+// deleted, unless the replica holds a version newer than the list: such a deletion is not absorbed.
 func (r *Replica) Replace(objects []platform.Object, revision uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -85,7 +85,7 @@
 		changes = append(changes, platform.Change{Object: o})
 	}
 	for key, held := range r.objects {
-		if listed[key] || held.Deleted || held.Version > revision {
+		if listed[key] || held.Deleted {
 			continue
 		}
 		changes = append(changes, deletion(key, revision))
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -33,6 +33,8 @@
 	Failed map[string]bool
 	// Revisions holds the revisions of peers by name, as heard in heartbeats.
 	Revisions map[string]uint64
+	// Current is the name of the peer that the node follows now, or empty.
+	Current string
 	// Ahead is the name of a peer that has held a newer revision for too long, or empty.
 	Ahead string
 	// Seeds are control addresses from the settings, for a start while the platform is down.
@@ -110,8 +112,12 @@
 	return Source{Peer: name, Address: address}, true
 }
 
-// newestPeer returns the peer with the highest revision above the view's; the lowest name among equals.
+// newestPeer returns the peer with the highest revision above the view's; the lowest name among
+// equals. A peer that is followed already stays, also when the node has caught up with it.
 func newestPeer(view *cluster.View, self string, h Health) (Source, bool) {
+	if s, ok := usablePeer(view, self, h.Current, h); ok {
+		return s, true
+	}
 	var best Source
 	bestRevision := view.Revision
 	for name, revision := range h.Revisions {
