--- /dev/null
+++ b/internal/coordinator/draft.go
@@ -0,0 +1,236 @@
+package coordinator
+
+import (
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/citronvane/citronvane/internal/cluster"
+	"github.com/citronvane/citronvane/internal/config"
+	"github.com/citronvane/citronvane/internal/control/plan"
+)
+
+// defaultPace is the number of moves towards a destination whose service declares no cold start.
+const defaultPace = 4
+
+// draft is the assignment of one service while it is being planned.
+type draft struct {
+	view    *cluster.View
+	service string
+	spec    config.Service
+	weight  func(cluster.SliceID) float64
+
+	// destinations are the nodes that may get slices, by name.
+	destinations []*destination
+	byID         map[cluster.NodeID]*destination
+	conditions   map[cluster.NodeID]condition
+	groups       []*group
+	// mean is the load of each destination if all were equal, heaviest the largest weight of a slice.
+	mean, heaviest float64
+}
+
+type destination struct {
+	id   cluster.NodeID
+	hash uint64
+	// load counts the slices that the node will own once all planned moves are done.
+	load float64
+	// inbound counts the moves towards the node that are not done.
+	inbound int
+}
+
+type group struct {
+	id      cluster.GroupID
+	version uint64
+	slices  []cluster.Slice
+	// held is the stored assignment, which is never changed; it is nil for a new group.
+	held    *cluster.Group
+	changed bool
+	urgent  bool
+}
+
+// entry is one slice of a draft.
+type entry struct {
+	group  *group
+	offset int
+	id     cluster.SliceID
+}
+
+func (e entry) get() cluster.Slice { return e.group.slices[e.offset] }
+
+// set changes the slice in a copy of the group.
+func (e entry) set(s cluster.Slice) {
+	g := e.group
+	if !g.changed && g.held != nil {
+		g.slices = slices.Clone(g.slices)
+	}
+	g.changed = true
+	g.slices[e.offset] = s
+}
+
+func newDraft(view *cluster.View, service string, weight func(cluster.SliceID) float64) *draft {
+	d := &draft{
+		view:       view,
+		service:    service,
+		spec:       view.Configuration.Document.Services[service],
+		weight:     weight,
+		byID:       map[cluster.NodeID]*destination{},
+		conditions: map[cluster.NodeID]condition{},
+	}
+	if d.weight == nil {
+		d.weight = func(cluster.SliceID) float64 { return 1 }
+	}
+	d.addDestinations()
+	d.addGroups()
+	d.addLoads()
+	return d
+}
+
+func (d *draft) addDestinations() {
+	for _, n := range d.view.Nodes {
+		if !n.Serves(d.service) || zoneOut(d.view, n.Location.AvailabilityZone) {
+			continue
+		}
+		to := &destination{id: n.ID, hash: xxhash.Sum64String(n.ID.Name)}
+		d.destinations = append(d.destinations, to)
+		d.byID[n.ID] = to
+	}
+	slices.SortFunc(d.destinations, func(a, b *destination) int { return cmp.Compare(a.id.Name, b.id.Name) })
+}
+
+func (d *draft) addGroups() {
+	for i := 0; i*cluster.GroupSize < d.spec.Slices; i++ {
+		id := cluster.GroupID{Service: d.service, Index: i}
+		g := &group{id: id, held: d.view.Groups[id]}
+		if g.held != nil {
+			g.version = g.held.Version
+			g.slices = g.held.Slices
+		}
+		d.groups = append(d.groups, g)
+	}
+}
+
+func (d *draft) addLoads() {
+	total := 0.0
+	for i := range d.spec.Slices {
+		w := d.weight(cluster.SliceID{Service: d.service, Index: i})
+		total += w
+		d.heaviest = max(d.heaviest, w)
+	}
+	d.mean = total / float64(max(1, len(d.destinations)))
+	d.each(func(e entry) {
+		s := e.get()
+		if next := d.byID[s.Next]; next != nil {
+			next.load += d.weight(e.id)
+			next.inbound++
+			return
+		}
+		if owner := d.byID[s.Owner]; owner != nil {
+			owner.load += d.weight(e.id)
+		}
+	})
+}
+
+// each calls f for each slice in order.
+func (d *draft) each(f func(entry)) {
+	for _, g := range d.groups {
+		for i := range g.slices {
+			f(entry{group: g, offset: i, id: cluster.SliceID{Service: d.service, Index: g.id.Index*cluster.GroupSize + i}})
+		}
+	}
+}
+
+// pick returns the destination with the highest rendezvous weight for the slice among those below the
+// mean load. One always exists while a slice is unplaced, and no load exceeds the mean by a slice.
+func (d *draft) pick(id cluster.SliceID, usable func(*destination) bool) *destination {
+	var best *destination
+	var bestScore uint64
+	sliceHash := xxhash.Sum64String(id.String())
+	for _, to := range d.destinations {
+		if to.load >= d.mean || !usable(to) {
+			continue
+		}
+		if score := rendezvous(to.hash, sliceHash); best == nil || score > bestScore {
+			best, bestScore = to, score
+		}
+	}
+	return best
+}
+
+func rendezvous(node, slice uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], node)
+	binary.LittleEndian.PutUint64(b[8:], slice)
+	return xxhash.Sum64(b[:])
+}
+
+// pickAny is pick without pacing. The least loaded node stands in where rounding hides all others.
+func (d *draft) pickAny(id cluster.SliceID) *destination {
+	if to := d.pick(id, func(*destination) bool { return true }); to != nil {
+		return to
+	}
+	return slices.MinFunc(d.destinations, func(a, b *destination) int { return cmp.Compare(a.load, b.load) })
+}
+
+// pickPaced is pick among destinations that can bear another cold slice. It may return nil.
+func (d *draft) pickPaced(id cluster.SliceID) *destination {
+	return d.pick(id, func(to *destination) bool { return to.inbound < d.pace() })
+}
+
+func (d *draft) pace() int {
+	if d.spec.ColdStart.Concurrency > 0 {
+		return d.spec.ColdStart.Concurrency
+	}
+	return defaultPace
+}
+
+// move sets the next owner of a slice.
+func (d *draft) move(e entry, to *destination) {
+	s := e.get()
+	w := d.weight(e.id)
+	if from := d.byID[s.Owner]; from != nil {
+		from.load -= w
+	}
+	to.load += w
+	to.inbound++
+	s.Next = to.id
+	e.set(s)
+}
+
+// cancel clears the next owner of a slice.
+func (d *draft) cancel(e entry) {
+	s := e.get()
+	w := d.weight(e.id)
+	if next := d.byID[s.Next]; next != nil {
+		next.load -= w
+		next.inbound--
+		if owner := d.byID[s.Owner]; owner != nil {
+			owner.load += w
+		}
+	}
+	s.Next = cluster.NodeID{}
+	e.set(s)
+}
+
+// writes returns one write for each changed group, takeovers first.
+func (d *draft) writes() []plan.Write {
+	var urgent, rest []plan.Write
+	for _, g := range d.groups {
+		if !g.changed || g.held != nil && slices.Equal(g.slices, g.held.Slices) {
+			continue
+		}
+		value, err := json.Marshal(cluster.Group{Slices: g.slices})
+		if err != nil {
+			panic("coordinator: a slice group can always be encoded: " + err.Error())
+		}
+		w := plan.Write{Kind: cluster.KindSlices, Name: g.id.ObjectName(), Value: value, Expect: g.version}
+		if g.urgent {
+			urgent = append(urgent, w)
+			continue
+		}
+		rest = append(rest, w)
+	}
+	return append(urgent, rest...)
+}
--- /dev/null
+++ b/internal/coordinator/duties.go
@@ -0,0 +1,196 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/citronvane/citronvane/internal/cluster"
+)
+
+const (
+	// imbalanceBound is the ratio of the highest load to the mean that starts moves. At 27 slices a
+	// node it tolerates the loss of a tenth of the nodes and the placement of their slices.
+	imbalanceBound = 1.1
+	// movesPerRound bounds the moves for balance that one plan adds, so that the owners' writes stay a
+	// part of the platform's several hundred writes a second.
+	movesPerRound = 64
+)
+
+// condition is what the view says about the owner of a slice.
+type condition int
+
+const (
+	// unknown owners are not in the view, which may lack their record; their slices stay.
+	unknown condition = iota
+	// none is the condition of a slice without an owner.
+	none
+	// gone owners will never serve again.
+	gone
+	// zoneIsOut, targetLost and draining owners hand their slices over.
+	zoneIsOut
+	targetLost
+	draining
+	// fine owners keep their slices.
+	fine
+)
+
+func (d *draft) condition(owner cluster.NodeID) condition {
+	known, ok := d.conditions[owner]
+	if !ok {
+		known = d.assess(owner)
+		d.conditions[owner] = known
+	}
+	return known
+}
+
+func (d *draft) assess(owner cluster.NodeID) condition {
+	if owner.IsZero() {
+		return none
+	}
+	n := d.view.Nodes[owner.Name]
+	switch {
+	case n == nil || n.ID.Incarnation < owner.Incarnation:
+		return unknown
+	case n.ID.Incarnation > owner.Incarnation || n.Gone():
+		return gone
+	case n.Target.Service != d.service || n.Target.Down:
+		return targetLost
+	case zoneOut(d.view, n.Location.AvailabilityZone):
+		return zoneIsOut
+	case n.State == cluster.Draining:
+		return draining
+	}
+	return fine
+}
+
+// create adds the groups that a new service lacks, without owners.
+func (d *draft) create() {
+	for _, g := range d.groups {
+		if g.held != nil {
+			continue
+		}
+		first := g.id.Index * cluster.GroupSize
+		g.slices = make([]cluster.Slice, min(cluster.GroupSize, d.spec.Slices-first))
+		g.changed = true
+	}
+}
+
+// takeOver gives slices without an owner, or with one that is gone, a new owner.
+func (d *draft) takeOver() {
+	d.each(func(e entry) {
+		s := e.get()
+		if c := d.condition(s.Owner); c != none && c != gone {
+			return
+		}
+		to := d.byID[s.Next]
+		if to == nil {
+			to = d.pickAny(e.id)
+			to.load += d.weight(e.id)
+		} else {
+			to.inbound--
+		}
+		epoch := s.Epoch + 1
+		e.set(cluster.Slice{Epoch: epoch, Owner: to.id, RecordEpoch: epoch, WaitMS: d.waitMS(s)})
+		e.group.urgent = true
+	})
+}
+
+// waitMS returns how long requests of the previous owner may still run at its target.
+func (d *draft) waitMS(s cluster.Slice) int64 {
+	if s.Epoch == 0 {
+		return 0
+	}
+	// The previous owner may itself have been waiting for a target that is not fenced.
+	n := d.view.Node(s.Owner)
+	if n != nil && n.Target.Service == d.service && n.Target.Fenced {
+		return s.WaitMS
+	}
+	return max(s.WaitMS, d.spec.MaxRequest.Std().Milliseconds())
+}
+
+// repairNext clears or replaces next owners that are no longer wanted.
+func (d *draft) repairNext() {
+	d.each(func(e entry) {
+		s := e.get()
+		if s.Next.IsZero() || d.condition(s.Owner) == unknown {
+			return
+		}
+		if s.Next == s.Owner || d.byID[s.Next] == nil {
+			d.cancel(e)
+			return
+		}
+		if d.condition(s.Owner) == fine && d.cancelImproves(e) {
+			d.cancel(e)
+		}
+	})
+}
+
+// cancelImproves reports whether the balance is better or equal if the owner keeps the slice. A move
+// for balance never meets it, because it goes from above the mean to below.
+func (d *draft) cancelImproves(e entry) bool {
+	s := e.get()
+	w := d.weight(e.id)
+	return d.byID[s.Next].load-w >= d.byID[s.Owner].load+w
+}
+
+// evacuate sets the next owner of slices whose owner can't keep them. Slices whose target is lost
+// are served by nobody, so they move at once; the others at the pace of the destinations.
+func (d *draft) evacuate() {
+	leaving := map[condition][]entry{}
+	d.each(func(e entry) {
+		s := e.get()
+		c := d.condition(s.Owner)
+		if s.Next.IsZero() && (c == zoneIsOut || c == targetLost || c == draining) {
+			leaving[c] = append(leaving[c], e)
+		}
+	})
+	for _, c := range []condition{zoneIsOut, targetLost, draining} {
+		slices.SortStableFunc(leaving[c], func(a, b entry) int { return cmp.Compare(d.weight(b.id), d.weight(a.id)) })
+		for _, e := range leaving[c] {
+			to := d.evacuationTarget(e, c)
+			if to == nil {
+				break
+			}
+			d.move(e, to)
+		}
+	}
+}
+
+func (d *draft) evacuationTarget(e entry, c condition) *destination {
+	if c == targetLost {
+		return d.pickAny(e.id)
+	}
+	return d.pickPaced(e.id)
+}
+
+// balance moves slices from destinations above the mean to those below. Each move is one that any
+// assignment with these loads needs, so a full rendezvous assignment never moves fewer.
+func (d *draft) balance() {
+	moves := 0
+	d.each(func(e entry) {
+		s := e.get()
+		if moves == movesPerRound || !s.Next.IsZero() || d.condition(s.Owner) != fine || !d.overloaded(d.byID[s.Owner]) {
+			return
+		}
+		to := d.pickPaced(e.id)
+		if to == nil {
+			moves = movesPerRound
+			return
+		}
+		d.move(e, to)
+		moves++
+	})
+}
+
+// overloaded reports whether a node stays at or above the mean without its heaviest slice.
+func (d *draft) overloaded(n *destination) bool { return n.load >= d.mean+d.heaviest }
+
+// canImprove reports whether a move for balance exists.
+func (d *draft) canImprove() bool { return slices.ContainsFunc(d.destinations, d.overloaded) }
+
+// exceedsBound reports whether the imbalance starts moves.
+func (d *draft) exceedsBound() bool {
+	return slices.ContainsFunc(d.destinations, func(n *destination) bool {
+		return n.load > d.mean*imbalanceBound && d.overloaded(n)
+	})
+}
