Add benchmarks of planning, replicas and follow streams

Change: benchmarks of a settled plan, the plan after the loss of one host, the application of its changes, the heap of a replica, and the bytes that a source writes to a follower over TCP.

--- a/internal/coordinator/draft.go
+++ b/internal/coordinator/draft.go
@@ -218,7 +218,7 @@
 func (d *draft) writes() []plan.Write {
 	var urgent, rest []plan.Write
 	for _, g := range d.groups {
-		if !g.changed || g.held != nil && slices.Equal(g.slices, g.held.Slices) {
+		if !g.changed {
 			continue
 		}
 		value, err := json.Marshal(cluster.Group{Slices: g.slices})
--- /dev/null
+++ b/internal/coordinator/scale_test.go
@@ -0,0 +1,172 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/cluster"
+	"github.com/citronvane/citronvane/internal/config"
+	"github.com/citronvane/citronvane/internal/control/plan"
+	"github.com/citronvane/citronvane/internal/peer"
+	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/replica"
+)
+
+// fleet is a settled fleet and the plan for the loss of one of its hosts.
+type fleet struct {
+	before  *cluster.View
+	objects []platform.Change
+	lost    *cluster.View
+	loss    []plan.Write
+	changes []platform.Change
+}
+
+// newFleet builds a fleet. Names, addresses and grantors have the length that they have in production.
+func newFleet(nodes, sliceCount int) *fleet {
+	s := newSession()
+	s.configure(func(d *config.Document) {
+		d.Services["booking"] = config.Service{Kind: config.Keyed, Slices: sliceCount}
+	})
+	for i := range nodes {
+		s.node(nodeName(i), func(n *cluster.Node) {
+			n.ID.Incarnation = 1764800000000000000 + uint64(i)
+			n.Location = cluster.Location{Region: "dar-es-salaam", AvailabilityZone: "kariakoo", Rack: "rack-17"}
+			address := fmt.Sprintf("10.20.%d.%d:7401", i/250, i%250)
+			n.Addresses = cluster.Addresses{Callers: address, Relay: address, Heartbeat: address, Control: address, Operators: address}
+			n.Grantors = []cluster.NodeID{n.ID, n.ID, n.ID}
+		})
+	}
+	s.plan(nodeName(0))
+	f := &fleet{before: s.view, objects: s.log}
+	s.node(nodeName(nodes-1), func(n *cluster.Node) { n.State = cluster.Revoked })
+	f.lost = s.view
+	f.loss = New().Plan(s.view, s.view.Nodes[nodeName(0)].ID, 0)
+	s.plan(nodeName(0))
+	f.changes = s.log[len(f.objects):]
+	return f
+}
+
+func nodeName(i int) string { return fmt.Sprintf("kariakoo-booking-%03d", i) }
+
+func eachSize(b *testing.B, run func(b *testing.B, f *fleet)) {
+	for _, nodes := range []int{4, 14, 150, 600} {
+		for _, count := range []int{256, 4096, 16384} {
+			b.Run(fmt.Sprintf("nodes=%d/slices=%d", nodes, count), func(b *testing.B) { run(b, newFleet(nodes, count)) })
+		}
+	}
+}
+
+func benchmarkPlan(b *testing.B, view func(*fleet) *cluster.View) {
+	eachSize(b, func(b *testing.B, f *fleet) {
+		v := view(f)
+		self := v.Nodes[nodeName(0)].ID
+		writes := 0
+		for b.Loop() {
+			writes = len(New().Plan(v, self, 0))
+		}
+		b.ReportMetric(float64(writes), "writes")
+	})
+}
+
+func BenchmarkPlanSettled(b *testing.B) {
+	benchmarkPlan(b, func(f *fleet) *cluster.View { return f.before })
+}
+func BenchmarkPlanLoss(b *testing.B) {
+	benchmarkPlan(b, func(f *fleet) *cluster.View { return f.lost })
+}
+
+func quiet() *log.Logger { return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}} }
+
+// BenchmarkApplyLoss applies the changes of one lost host, and reports the size of all objects and
+// the heap that a replica takes for them.
+func BenchmarkApplyLoss(b *testing.B) {
+	eachSize(b, func(b *testing.B, f *fleet) {
+		size := 0
+		for _, o := range f.objects {
+			size += len(o.Value)
+		}
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		r := replica.New(quiet())
+		for _, o := range f.objects {
+			o.Value = append([]byte(nil), o.Value...)
+			r.Apply(replica.Batch{Changes: []platform.Change{o}, Revision: o.Version})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		for b.Loop() {
+			_, err := f.before.Apply(f.changes, f.lost.Revision)
+			require.NoError(b, err)
+		}
+		b.ReportMetric(float64(size), "object-bytes")
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-bytes")
+		runtime.KeepAlive(r)
+	})
+}
+
+type countingListener struct {
+	net.Listener
+	sent atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	sent *atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, &l.sent}, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkFollowLoss sends the changes of one lost host on a follow stream over TCP, and reports the
+// bytes that the source writes.
+func BenchmarkFollowLoss(b *testing.B) {
+	eachSize(b, func(b *testing.B, f *fleet) {
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(b, err)
+		l := &countingListener{Listener: tcp}
+		source, follower := replica.New(quiet()), replica.New(quiet())
+		source.Apply(replica.Batch{Changes: f.objects, Revision: f.before.Revision})
+		server, client := peer.NewServer("s", nil, source, quiet()), peer.NewClient("s")
+		go func() { _ = server.Serve(l) }()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer server.Stop(ctx)
+		defer client.Close()
+		defer cancel()
+		go func() { _ = client.Follow(ctx, tcp.Addr().String(), "f", 0, follower.Apply) }()
+		wait := func(revision uint64) {
+			for changed := follower.Changed(); follower.Revision() < revision; changed = follower.Changed() {
+				<-changed
+			}
+		}
+		wait(f.before.Revision)
+		before, version := l.sent.Load(), f.lost.Revision+uint64(len(f.changes))
+		for b.Loop() {
+			changes := append([]platform.Change(nil), f.changes...)
+			for i := range changes {
+				version++
+				changes[i].Version = version
+			}
+			source.Apply(replica.Batch{Changes: changes, Revision: version})
+			wait(version)
+		}
+		b.ReportMetric(float64(l.sent.Load()-before)/float64(b.N), "stream-bytes")
+	})
+}
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -25,6 +25,7 @@
 	frozen       map[string]*cluster.View
 	coordinators map[string]*Coordinator
 	refused      int
+	log          []platform.Change // all changes
 }
 
 func newSession() *session {
@@ -44,6 +45,7 @@
 	s.revision++
 	s.versions[key] = s.revision
 	change := platform.Change{Object: platform.Object{Kind: w.Kind, Name: w.Name, Version: s.revision, Value: w.Value}}
+	s.log = append(s.log, change)
 	view, err := s.view.Apply([]platform.Change{change}, s.revision)
 	if err != nil {
 		panic(err)
