Assemble the full entrance and coordinator, and share the retry ratio

Ruled out: a retry budget per node only; 600 nodes with a floor of 10 retries/s each would add 6,000 requests/s to a service that is down.

--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -72,7 +72,7 @@
 func zoneShortages(view *cluster.View, zone string) []operator.Shortage {
 	var shortages []operator.Shortage
 	for _, c := range coordinator.ZoneCapacity(view, zone) {
-		if !c.Enough {
+		if !c.Carried {
 			shortages = append(shortages, operator.Shortage{Service: c.Service, Needed: c.Needed, Remaining: c.Remaining})
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/relay"
 	"github.com/citronvane/citronvane/internal/replica"
+	"github.com/citronvane/citronvane/internal/retry"
 	"github.com/citronvane/citronvane/internal/routing"
 	"github.com/citronvane/citronvane/internal/settings"
 	"github.com/citronvane/citronvane/internal/target"
@@ -56,7 +57,9 @@
 	peerServer *peer.Server
 	relay      *relay.Server
 	relayOut   *relay.Client
-	entrance   *entrance.Entrance
+	entrance   *entrance.Handler
+	retries    *retry.Budget
+	fleet      *retry.FleetRatio
 	callers    *http.Server
 	operators  *http.Server
 	announce   *http.Server
@@ -128,8 +131,7 @@
 		return err
 	}
 	n.buildControl()
-	n.buildEntrance()
-	return nil
+	return n.buildEntrance()
 }
 
 func (n *Node) buildGate() error {
@@ -167,7 +169,7 @@
 		Lease:         n.lease,
 		Log:           n.logger,
 		Heard:         n.heard,
-		RetryPermille: func() uint32 { return n.entrance.RetryPermille() },
+		RetryPermille: n.retryPermille,
 	})
 	n.targets = target.NewServer(target.ServerConfig{
 		Table:     n.table,
@@ -180,16 +182,22 @@
 	})
 }
 
-func (n *Node) buildEntrance() {
+func (n *Node) buildEntrance() error {
 	n.relayOut = relay.NewClient(relay.ClientOptions{Secret: []byte(n.settings.Cluster.Secret)})
-	n.entrance = entrance.New(entrance.Options{
-		Node:             n.settings.Node.Name,
+	n.fleet = retry.NewFleetRatio()
+	n.retries = retry.NewBudget(clock.Boot{}.Now())
+	var err error
+	n.entrance, err = entrance.New(entrance.Options{
+		Name:             n.settings.Node.Name,
 		AvailabilityZone: n.settings.Node.AvailabilityZone,
 		Table:            n.table,
 		Relay:            n.relayOut,
-		Local:            n.gate,
+		Gate:             n.gate,
+		Clock:            clock.Boot{},
+		Budget:           n.retries,
 		Logger:           n.logger,
 	})
+	return err
 }
 
 // start binds all addresses and starts the goroutines.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,10 +5,14 @@
 	"time"
 
 	"github.com/citronvane/citronvane/internal/buildinfo"
+	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/peer"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
+// permille converts a ratio to the unit of heartbeats.
+const permille = 1000
+
 // backend carries out the control calls of other nodes.
 type backend struct{ n *Node }
 
@@ -36,7 +40,16 @@
 // heard takes what a heartbeat says about its sender.
 func (n *Node) heard(name string, revision uint64, retryPermille uint32) {
 	n.follower.HeardRevision(name, revision)
-	n.entrance.HeardRetryPermille(name, retryPermille)
+	n.fleet.Heard(name, float64(retryPermille)/permille, clock.Boot{}.Now())
+}
+
+// retryPermille returns this node's estimate of the fleet's retry ratio for its heartbeats, and
+// adjusts its own budget to it.
+func (n *Node) retryPermille() uint32 {
+	now := clock.Boot{}.Now()
+	ratio := n.fleet.Estimate(n.retries.Ratio(now), now)
+	n.retries.SetFleetRatio(ratio)
+	return uint32(ratio * permille)
 }
 
 // sharePoison sends a report of this node to all nodes of the same service. Crashes are rare, so that
--- /dev/null
+++ b/internal/retry/fleet.go
@@ -0,0 +1,50 @@
+package retry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/clock"
+)
+
+// heardFor is how long a peer's estimate counts. Heartbeats come eight times a second.
+const heardFor = 2 * time.Second
+
+// FleetRatio estimates the retry ratio of the whole fleet. Each node sends its estimate with its
+// heartbeats and takes the mean of its own ratio and its neighbours' estimates, so that a rise anywhere
+// spreads to all nodes without a message of its own.
+type FleetRatio struct {
+	mu    sync.Mutex
+	peers map[string]estimate
+}
+
+type estimate struct {
+	ratio float64
+	at    clock.Instant
+}
+
+// NewFleetRatio returns an estimate that knows no peers.
+func NewFleetRatio() *FleetRatio { return &FleetRatio{peers: map[string]estimate{}} }
+
+// Heard takes the estimate of a peer.
+func (f *FleetRatio) Heard(peer string, ratio float64, now clock.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers[peer] = estimate{ratio: ratio, at: now}
+}
+
+// Estimate returns the mean of the own ratio and the peers' estimates.
+func (f *FleetRatio) Estimate(own float64, now clock.Instant) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum, count := own, 1.0
+	for peer, e := range f.peers {
+		if now.Sub(e.at) > heardFor {
+			delete(f.peers, peer)
+			continue
+		}
+		sum += e.ratio
+		count++
+	}
+	return sum / count
+}
