Compress stored objects between nodes

Cause: the loss of one host at 600 nodes and 16,384 slices rewrites 22 slice groups of 20 KB, which each source sends to about 75 followers.

Ruled out: compression by gRPC, which compresses each message again for each follower, and a difference to the previous version, which needs the follower to hold exactly that version.

Change: values from 1 KiB are sent as DEFLATE, compressed once for all followers; wire.Change gets the field deflated. A receiver inflates at most the platform's 1 MiB.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -30,11 +30,14 @@
 
 // Client calls other nodes by control address. Connections are shared between calls.
 type Client struct {
-	pool *pool
+	pool    *pool
+	encoder *encoder
 }
 
 // NewClient returns a client that proves the cluster secret. It has to be closed.
-func NewClient(secret string) *Client { return &Client{pool: newPool(newToken(secret))} }
+func NewClient(secret string) *Client {
+	return &Client{pool: newPool(newToken(secret)), encoder: newEncoder()}
+}
 
 // Close ends all connections.
 func (c *Client) Close() { c.pool.close() }
@@ -77,7 +80,7 @@
 // Notify delivers changes that this node wrote.
 func (c *Client) Notify(ctx context.Context, address string, changes ...platform.Change) error {
 	for _, b := range replica.Split(changes) {
-		if _, err := call(ctx, c, address, notifyTimeout, wire.PeerClient.Notify, encodeBatch(b)); err != nil {
+		if _, err := call(ctx, c, address, notifyTimeout, wire.PeerClient.Notify, c.encoder.encode(b)); err != nil {
 			return err
 		}
 	}
@@ -145,6 +148,10 @@
 			return fromStatus(err, address)
 		}
 		silence.Reset(followSilence)
-		apply(decodeBatch(message))
+		batch, err := decode(message)
+		if err != nil {
+			return err
+		}
+		apply(batch)
 	}
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -8,41 +8,8 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
-	"github.com/citronvane/citronvane/internal/replica"
-	"github.com/citronvane/citronvane/internal/wire"
 )
 
-func encodeBatch(b replica.Batch) *wire.Changes {
-	changes := make([]*wire.Change, 0, len(b.Changes))
-	for _, c := range b.Changes {
-		changes = append(changes, &wire.Change{
-			Kind:    c.Kind,
-			Name:    c.Name,
-			Version: c.Version,
-			Value:   c.Value,
-			Deleted: c.Deleted,
-		})
-	}
-	return &wire.Changes{Changes: changes, Revision: b.Revision}
-}
-
-func decodeBatch(m *wire.Changes) replica.Batch {
-	changes := make([]platform.Change, 0, len(m.GetChanges()))
-	for _, c := range m.GetChanges() {
-		changes = append(changes, platform.Change{
-			Object: platform.Object{
-				Kind:    c.GetKind(),
-				Name:    c.GetName(),
-				Version: c.GetVersion(),
-				Value:   c.GetValue(),
-			},
-			Deleted: c.GetDeleted(),
-		})
-	}
-	return replica.Batch{Changes: changes, Revision: m.GetRevision()}
-}
-
 var codeOfKind = map[errs.Kind]codes.Code{
 	errs.Invalid:        codes.InvalidArgument,
 	errs.NotFound:       codes.NotFound,
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -62,6 +62,7 @@
 	wire.UnimplementedPeerServer
 	backend   Backend
 	replica   *replica.Replica
+	encoder   *encoder
 	log       *log.Logger
 	followers metric.Int64UpDownCounter
 	stopping  chan struct{}
@@ -83,6 +84,7 @@
 	wire.RegisterPeerServer(s.grpc, &service{
 		backend:   backend,
 		replica:   r,
+		encoder:   newEncoder(),
 		log:       logger,
 		followers: followerCounter(),
 		stopping:  s.stopping,
@@ -165,7 +167,11 @@
 
 // Notify adds changes that the sender wrote to the replica.
 func (s *service) Notify(_ context.Context, m *wire.Changes) (*wire.NotifyResponse, error) {
-	s.replica.Feed(decodeBatch(m).Changes...)
+	b, err := decode(m)
+	if err != nil {
+		return nil, err
+	}
+	s.replica.Feed(b.Changes...)
 	return &wire.NotifyResponse{}, nil
 }
 
@@ -199,7 +205,7 @@
 	s.followers.Add(stream.Context(), 1)
 	defer s.followers.Add(context.Background(), -1)
 	done := make(chan error, 1)
-	go func() { done <- send(feed, stream) }()
+	go func() { done <- s.send(feed, stream) }()
 	// The handler does not send itself, because only its return frees a Send that is blocked by a
 	// follower that does not read.
 	select {
@@ -213,9 +219,9 @@
 	}
 }
 
-func send(feed *replica.Feed, stream grpc.ServerStreamingServer[wire.Changes]) error {
+func (s *service) send(feed *replica.Feed, stream grpc.ServerStreamingServer[wire.Changes]) error {
 	for _, b := range feed.Backlog() {
-		if err := stream.Send(encodeBatch(b)); err != nil {
+		if err := stream.Send(s.encoder.encode(b)); err != nil {
 			return err
 		}
 	}
@@ -225,7 +231,7 @@
 		var message *wire.Changes
 		select {
 		case b := <-feed.Batches():
-			message = encodeBatch(b)
+			message = s.encoder.encode(b)
 			feed.Taken(b)
 		case <-ticker.C:
 			// Revision 0: batches up to the current revision may still wait in the feed.
