Read streamed bodies while the answer is written

Cause: net/http stops reading a body over HTTP/1 when the answer begins, so that a target that answers before it has read all of a large body got a cut request. A test over a real relay connection found it. Change: full duplex for streamed bodies. The tests of the cluster secret and of cancelled hedges now also fail when only the server's check or only the cancellation is missing.

--- a/internal/entrance/body.go
+++ b/internal/entrance/body.go
@@ -58,6 +58,8 @@
 		_ = control.SetReadDeadline(time.Time{}) // Else the server takes the passed deadline for a caller that left.
 		return &body{length: int64(len(start)), buffered: start}, nil
 	}
+	// Else the server stops reading the body when the answer begins, and cuts the request off.
+	_ = control.EnableFullDuplex() // HTTP/2 needs no switch for it.
 	stream := &onceReader{Reader: io.MultiReader(bytes.NewReader(start), limited)}
 	return &body{length: r.ContentLength, stream: stream, control: control}, nil
 }
--- a/internal/entrance/entrance_test.go
+++ b/internal/entrance/entrance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -303,7 +304,9 @@
 		case <-time.After(delay):
 			return ok(c.node), nil
 		case <-ctx.Done():
-			cancelled.Add(1)
+			if errors.Is(context.Cause(ctx), errHedgeLost) {
+				cancelled.Add(1)
+			}
 			return nil, ctx.Err()
 		}
 	})
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -253,6 +254,20 @@
 	defer stranger.Close()
 	_, err := stranger.Do(context.Background(), address, request("k", nil))
 	require.ErrorIs(t, err, ErrNotSent)
+
+	// A process that does not check the server must not get through either.
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	challenge := make([]byte, headerSize+challengeSize)
+	_, err = io.ReadFull(conn, challenge)
+	require.NoError(t, err)
+	hello, err := newHello([]byte("other"), challenge[headerSize:])
+	require.NoError(t, err)
+	_, err = conn.Write(frame{kindBodiless, 1, nil}.append(frame{kindHello, 0, hello}.append(nil)))
+	require.NoError(t, err)
+	rest, _ := io.ReadAll(conn)
+	require.Empty(t, rest)
 	require.Zero(t, runs.Load())
 }
 
