--- a/internal/entrance/entrance_test.go
+++ b/internal/entrance/entrance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -181,6 +182,8 @@
 		{"LOCK", "/booking/k", nil, answer.IdentityRequired},
 		{"TOKEN", "/booking/k", []string{identity, "i"}, answer.BadRequest},
 		{"GET", "/booking", nil, answer.BadRequest},
+		{"GET", "/booking/%ff", nil, answer.BadRequest},
+		{"GET", "/booking/k", []string{"X-Long", strings.Repeat("x", maxHeaders)}, answer.TooLarge},
 		{"GET", "/booking/k", []string{TimeoutHeader, "-1"}, answer.BadRequest},
 		{"GET", "/nothing", nil, answer.NoRule},
 		{"POST", "/v1/tokens", nil, answer.BadRequest},
@@ -301,7 +304,9 @@
 		case <-time.After(delay):
 			return ok(c.node), nil
 		case <-ctx.Done():
-			cancelled.Add(1)
+			if errors.Is(context.Cause(ctx), errHedgeLost) {
+				cancelled.Add(1)
+			}
 			return nil, ctx.Err()
 		}
 	})
