Pass the age of a takeover on in each batch of a handover

Cause: the peer client split identity records into batches without the age of the last takeover, so a next owner would have ended the refusal of opaque keys too early.

Ruled out: sending the age in the first batch only; batches may be repeated.

Change: every batch carries takeover_age_ms; the test of splitting checks it.

Conclusion: the age survives a handover of any size.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -105,7 +105,9 @@
 
 func splitIdentities(b *wire.IdentityBatch) []*wire.IdentityBatch {
 	part := func() *wire.IdentityBatch {
-		return &wire.IdentityBatch{Service: b.GetService(), Slice: b.GetSlice(), Epoch: b.GetEpoch()}
+		return &wire.IdentityBatch{
+			Service: b.GetService(), Slice: b.GetSlice(), Epoch: b.GetEpoch(), TakeoverAgeMs: b.GetTakeoverAgeMs(),
+		}
 	}
 	parts := []*wire.IdentityBatch{part()}
 	size := 0
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -25,6 +25,7 @@
 type fakeBackend struct {
 	Backend
 	parts    int
+	age      int64
 	refuse   int // number of the part that is not accepted
 	deadline bool
 	err      error
@@ -35,8 +36,9 @@
 	return &wire.VoteResponse{Promised: true}, b.err
 }
 
-func (b *fakeBackend) ImportIdentities(context.Context, *wire.IdentityBatch) (*wire.ImportResponse, error) {
+func (b *fakeBackend) ImportIdentities(_ context.Context, batch *wire.IdentityBatch) (*wire.ImportResponse, error) {
 	b.parts++
+	b.age = batch.GetTakeoverAgeMs()
 	return &wire.ImportResponse{Accepted: b.parts != b.refuse}, nil
 }
 
@@ -204,12 +206,13 @@
 // though the next owner refused a part of it.
 func TestIdentitiesAreSplit(t *testing.T) {
 	f := start(t, "secret")
-	batch := &wire.IdentityBatch{Service: "booking", Slice: 3, Epoch: 4}
+	batch := &wire.IdentityBatch{Service: "booking", Slice: 3, Epoch: 4, TakeoverAgeMs: 77}
 	for i := range 100 {
 		batch.Identities = append(batch.Identities, &wire.Identity{Key: fmt.Sprint(i), Body: make([]byte, 64<<10)})
 	}
 	require.NoError(t, f.client.ImportIdentities(t.Context(), f.address, batch))
 	require.Equal(t, 7, f.backend.parts)
+	require.EqualValues(t, 77, f.backend.age)
 	f.backend.parts, f.backend.refuse = 0, 2
 	require.True(t, errs.Is(f.client.ImportIdentities(t.Context(), f.address, batch), errs.Conflict))
 	require.Equal(t, 2, f.backend.parts)
