Close retired connections with the client

Cause: a connection whose server is stopping is no longer in the pool, so Client.Close waited for its streams. The new test hung until its time limit before the change. Change: each connection ends with the context of its client.

--- a/internal/relay/clientconn.go
+++ b/internal/relay/clientconn.go
@@ -130,6 +130,9 @@
 		c.fail(ErrTruncated)
 		return
 	}
+	// Retired connections are not in the pool any more, so the pool can't close them.
+	stop := context.AfterFunc(c.pool.client.ctx, func() { c.fail(ErrTruncated) })
+	defer stop()
 	c.pool.client.wg.Go(c.writeAll)
 	c.fail(c.readAll())
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -295,6 +295,26 @@
 	require.ErrorIs(t, err, ErrNotSent)
 }
 
+// Guards against a client that can't be closed while a server that is stopping still answers.
+func TestClientCloseEndsRetiredConnections(t *testing.T) {
+	server, client, address := start(t, func(ctx context.Context, _ *Request, _ ResponseWriter) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.Do(context.Background(), address, request("k", nil))
+		failed <- err
+	}()
+	running := func() bool { return len(server.connections()) == 1 && server.connections()[0].running.Load() == 1 }
+	require.Eventually(t, running, time.Second, time.Millisecond)
+	go func() { _ = server.Close(context.Background()) }()
+	p := client.pool(address)
+	require.Eventually(t, func() bool { p.mu.Lock(); defer p.mu.Unlock(); return len(p.conns) == 0 }, time.Second, time.Millisecond)
+	client.Close()
+	require.ErrorIs(t, <-failed, ErrTruncated)
+}
+
 // Guards against refusals of the gate that lose their kind, also when the context has ended.
 func TestRefusalIsAWholeAnswer(t *testing.T) {
 	_, client, address := start(t, func(context.Context, *Request, ResponseWriter) error {
