Answer callers that seem gone

Cause: a handler that returns without writing gives an empty 200, so a refusal that is dropped because the caller seems gone would look like a success if the caller is still there. Ruled out: a test; the context ends only after the connection has failed, so no caller can show it. Ruled out by a trial: lifting the read limit at the end of streamed bodies; net/http does so itself. Change: the refusal is always written. Conclusion: go test -race ./internal/entrance passes.

--- a/internal/entrance/deliver.go
+++ b/internal/entrance/deliver.go
@@ -21,15 +21,15 @@
 // deliver writes the result to the caller and returns its kind for the metrics. It panics with
 // http.ErrAbortHandler if the answer breaks off, so that the caller never takes it for whole.
 func (h *Handler) deliver(w http.ResponseWriter, r *http.Request, q *request, o *outcome) string {
-	if o.refusal != nil && abandoned(r) {
-		return kindAbandoned
-	}
 	if o.response != nil && (o.response.Head.GetStatus() < 200 || o.response.Head.GetStatus() > 999) {
 		o = o.replace(answer.Refuse(answer.OutcomeUnknown, "the answer has the status %d", o.response.Head.GetStatus()))
 	}
 	if o.refusal != nil {
 		h.report(q, o.refusal)
-		o.refusal.Write(w)
+		o.refusal.Write(w) // Also for a caller that seems gone, because no answer would look like an empty success.
+		if abandoned(r) {
+			return kindAbandoned
+		}
 		return string(o.refusal.Kind)
 	}
 	head := o.response.Head
