Look only at slices that move, and measure what control costs

Cause: a profile of an idle node with 128 slices showed 30 of 170 ms in a scan of all owned slices on each of 40 ticks a second.

Ruled out: a longer tick; it bounds the detection of silent holders.

Figures: profile of 8 s before: 2.1% of a core at 4 nodes and 256 slices, 17.65% of it in wantedMoves.

--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -33,13 +33,12 @@
 // stepMoves starts the handover of each slice that has a next owner and writes the new owner of those
 // that are ready. It runs after the snapshot that stops new requests was published.
 func (s *state) stepMoves() {
-	wanted := s.wantedMoves()
 	for id, m := range s.moves {
-		if w, ok := wanted[id]; !ok || w != m.Move {
+		if w, ok := s.wanted[id]; !ok || w != m.Move {
 			s.stopMove(m)
 		}
 	}
-	for id, w := range wanted {
+	for id, w := range s.wanted {
 		m := s.moves[id]
 		if m == nil {
 			m = &move{Move: w}
@@ -50,17 +49,6 @@
 	s.writeMoves()
 }
 
-func (s *state) wantedMoves() map[cluster.SliceID]Move {
-	wanted := map[cluster.SliceID]Move{}
-	for id := range s.owned {
-		slice, _ := s.view.Slice(id)
-		if !slice.Next.IsZero() {
-			wanted[id] = Move{Slice: id, Epoch: slice.Epoch, To: slice.Next}
-		}
-	}
-	return wanted
-}
-
 func (s *state) stopMove(m *move) {
 	if m.running {
 		s.do(StopHandover{Slice: m.Slice})
@@ -70,7 +58,10 @@
 
 func (s *state) startMove(m *move) {
 	next := s.view.Node(m.To)
-	if m.running || m.sent || next == nil || next.Gone() || s.now < m.retryAt {
+	// A slice that still waits for the target of a lost owner moves after the wait, which is not
+	// handed on.
+	waiting := s.now < s.owned[m.Slice].readyAt
+	if m.running || m.sent || waiting || next == nil || next.Gone() || s.now < m.retryAt {
 		return
 	}
 	m.running = true
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -81,10 +81,12 @@
 	}})
 }
 
-// ownedSlices returns the slices that the view gives to the registered incarnation.
+// ownedSlices returns the slices that the view gives to the registered incarnation, and notes those
+// that have a next owner, so that a tick does not look at every slice.
 func (s *state) ownedSlices() map[cluster.SliceID]routing.OwnedSlice {
 	result := map[cluster.SliceID]routing.OwnedSlice{}
 	held := map[cluster.SliceID]ownership{}
+	s.wanted = map[cluster.SliceID]Move{}
 	for groupID, g := range s.view.Groups {
 		for i, slice := range g.Slices {
 			if s.self.IsZero() || slice.Owner != s.self {
@@ -92,6 +94,9 @@
 			}
 			id := cluster.SliceID{Service: groupID.Service, Index: groupID.Index*cluster.GroupSize + i}
 			held[id] = s.ownership(id, slice)
+			if !slice.Next.IsZero() {
+				s.wanted[id] = Move{Slice: id, Epoch: slice.Epoch, To: slice.Next}
+			}
 			result[id] = routing.OwnedSlice{
 				Epoch: slice.Epoch, RecordEpoch: slice.RecordEpoch,
 				ReadyAt: held[id].readyAt, TakenOverAt: s.takenOverAt(id, slice),
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -88,6 +88,8 @@
 	moves       map[cluster.SliceID]*move
 	takeovers   map[cluster.SliceID]takeover
 	owned       map[cluster.SliceID]ownership
+	// wanted holds the owned slices that have a next owner.
+	wanted map[cluster.SliceID]Move
 
 	target  cluster.TargetInfo
 	leaving bool
--- a/internal/devfleet/process.go
+++ b/internal/devfleet/process.go
@@ -63,6 +63,16 @@
 	close(done)
 }
 
+// PID returns the process identity, 0 if the process does not run.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Running reports whether the process has been started and has not ended.
 func (p *Process) Running() bool {
 	p.mu.Lock()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -8,6 +8,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	"github.com/phuslu/log"
@@ -75,6 +76,8 @@
 	a.mux.HandleFunc("POST /v1/configuration/patches", command(a, a.patchConfiguration))
 	a.mux.HandleFunc("POST /v1/availability-zones/{zone}/state", command(a, a.setZoneState))
 	a.mux.HandleFunc("POST /v1/nodes/{node}/revoke", command(a, a.revokeNode))
+	a.mux.Handle("GET /debug/pprof/", a.guarded(http.HandlerFunc(pprof.Index)))
+	a.mux.Handle("GET /debug/pprof/profile", a.guarded(http.HandlerFunc(pprof.Profile)))
 	if o.Metrics != nil {
 		a.mux.Handle("GET /metrics", o.Metrics)
 	}
@@ -123,7 +126,7 @@
 func command[C, R any](a *API, run func(r *http.Request, body C) (R, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !a.authorized(r) {
-			writeError(w, errs.New(errs.Denied, "Give the operator token of the cluster's settings.", "operator token is missing or wrong"))
+			writeError(w, deniedError())
 			return
 		}
 		var body C
@@ -142,6 +145,21 @@
 	}
 }
 
+// guarded serves a handler to operators only. Profiles show what the process works on and cost time.
+func (a *API) guarded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !a.authorized(r) {
+			writeError(w, deniedError())
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func deniedError() error {
+	return errs.New(errs.Denied, "Give the operator token of the cluster's settings.", "operator token is missing or wrong")
+}
+
 func (a *API) authorized(r *http.Request) bool {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	return ok && subtle.ConstantTimeCompare([]byte(token), []byte(a.Token)) == 1
