Give all metrics the prefix citronvane

Cause: some packages named their instruments without it, so that a scrape of several programs mixes them.

Change: names only.

Conclusion: one prefix for dashboards.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -105,7 +105,7 @@
 }
 
 func wanted(name string) bool {
-	return strings.Contains(name, "heartbeat_bytes") || strings.Contains(name, "heartbeat_datagrams") || strings.Contains(name, "platform_calls")
+	return strings.HasPrefix(name, "citronvane_heartbeat_") || strings.HasPrefix(name, "citronvane_platform_")
 }
 
 func take(b *testing.B, fleet *devfleet.Fleet) sample {
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -28,16 +28,16 @@
 		return i
 	}
 	m := metrics{
-		renewalsSent:     counter("lease.renewals.sent", "Renewals sent to grantors"),
-		renewalsAnswered: counter("lease.renewals.answered", "Grants received from grantors"),
-		revocations:      counter("control.revocations", "Records of other incarnations that this node revoked"),
-		registrations:    counter("control.registrations", "Incarnations that this node registered"),
-		overflows:        counter("control.events.dropped", "Events dropped because the queue was full"),
-		platformCalls:    counter("control.platform.writes", "Writes by purpose and outcome"),
+		renewalsSent:     counter("citronvane.lease.renewals.sent", "Renewals sent to grantors"),
+		renewalsAnswered: counter("citronvane.lease.renewals.answered", "Grants received from grantors"),
+		revocations:      counter("citronvane.control.revocations", "Records of other incarnations that this node revoked"),
+		registrations:    counter("citronvane.control.registrations", "Incarnations that this node registered"),
+		overflows:        counter("citronvane.control.events.dropped", "Events dropped because the queue was full"),
+		platformCalls:    counter("citronvane.control.platform.writes", "Writes by purpose and outcome"),
 	}
-	m.loopLag, _ = meter.Float64Histogram("control.loop.lag", metric.WithUnit("s"),
+	m.loopLag, _ = meter.Float64Histogram("citronvane.control.loop.lag", metric.WithUnit("s"),
 		metric.WithDescription("Delay of the control loop behind its timer"))
-	remaining, _ := meter.Float64ObservableGauge("lease.remaining", metric.WithUnit("s"),
+	remaining, _ := meter.Float64ObservableGauge("citronvane.lease.remaining", metric.WithUnit("s"),
 		metric.WithDescription("Time until the lease of this node runs out, at most an hour"))
 	m.registration, _ = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		left := min(time.Hour, lease.End().Sub(c.Now()))
--- a/internal/entrance/metrics.go
+++ b/internal/entrance/metrics.go
@@ -28,10 +28,10 @@
 	meter := otel.Meter("citronvane/entrance")
 	var m metrics
 	var failures [4]error
-	m.requests, failures[0] = meter.Int64Counter("entrance.requests", metric.WithDescription("requests by service and kind of answer"))
-	m.retries, failures[1] = meter.Int64Counter("entrance.retries", metric.WithDescription("requests that were sent again"))
-	m.hedges, failures[2] = meter.Int64Counter("entrance.hedges", metric.WithDescription("second copies of slow requests"))
-	m.latency, failures[3] = meter.Float64Histogram("entrance.latency", metric.WithUnit("s"), metric.WithDescription("time until the answer was delivered"))
+	m.requests, failures[0] = meter.Int64Counter("citronvane.entrance.requests", metric.WithDescription("requests by service and kind of answer"))
+	m.retries, failures[1] = meter.Int64Counter("citronvane.entrance.retries", metric.WithDescription("requests that were sent again"))
+	m.hedges, failures[2] = meter.Int64Counter("citronvane.entrance.hedges", metric.WithDescription("second copies of slow requests"))
+	m.latency, failures[3] = meter.Float64Histogram("citronvane.entrance.latency", metric.WithUnit("s"), metric.WithDescription("time until the answer was delivered"))
 	return &m, errors.Join(failures[:]...)
 }
 
--- a/internal/heartbeat/metrics.go
+++ b/internal/heartbeat/metrics.go
@@ -23,11 +23,11 @@
 		return c
 	}
 	return metrics{
-		out:      counter("heartbeat.sent", "Datagrams sent by kind", "{datagram}"),
-		in:       counter("heartbeat.received", "Datagrams accepted", "{datagram}"),
-		outBytes: counter("heartbeat.sent.bytes", "Bytes of datagrams sent", "By"),
-		inBytes:  counter("heartbeat.received.bytes", "Bytes of datagrams accepted", "By"),
-		bad:      counter("heartbeat.dropped", "Bad datagrams by error kind", "{datagram}"),
+		out:      counter("citronvane.heartbeat.sent", "Datagrams sent by kind", "{datagram}"),
+		in:       counter("citronvane.heartbeat.received", "Datagrams accepted", "{datagram}"),
+		outBytes: counter("citronvane.heartbeat.sent.bytes", "Bytes of datagrams sent", "By"),
+		inBytes:  counter("citronvane.heartbeat.received.bytes", "Bytes of datagrams accepted", "By"),
+		bad:      counter("citronvane.heartbeat.dropped", "Bad datagrams by error kind", "{datagram}"),
 		renewal:  metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", "renewal"))),
 		grant:    metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", "grant"))),
 	}
