End a planned stop when no other node can take the slices

Cause: stopping a whole fleet took 39 s and failed, because each booking node waited for a successor until its bound of 35 s.

Ruled out: leaving at once without a successor; the only other node may be restarting, and a handover keeps the identity records.

Change: a draining node that has seen no node able to take its slices for 5 s leaves; event 3113. Stand-in targets of development fleets wait 2 s for a node that is gone. Free ports come from below the range of outgoing connections, because the start of a fleet failed with a port that another process had taken. Operators' guide, compared with the configuration's fields by a test.

Conclusion: a planned stop of everything ends within its bound.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http/httptest"
+	"os"
+	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -113,3 +116,23 @@
 		}
 	})
 }
+
+// Guards against an operators' guide that lacks a field of the configuration.
+func TestOperatorsGuideListsEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators.md")
+	require.NoError(t, err)
+	for _, field := range []struct {
+		prefix string
+		of     reflect.Type
+	}{
+		{"availability_zones.NAME.", reflect.TypeFor[AvailabilityZone]()},
+		{"services.NAME.", reflect.TypeFor[Service]()},
+		{"services.NAME.cold_start.", reflect.TypeFor[ColdStart]()},
+		{"rules[].", reflect.TypeFor[Rule]()},
+	} {
+		for f := range field.of.Fields() {
+			name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+			require.Contains(t, string(page), "`"+field.prefix+name, f.Name)
+		}
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -264,23 +264,6 @@
 	}
 }
 
-// Drain sets the node's state to draining and returns when it owns no slice any more.
-func (c *Control) Drain(ctx context.Context) error {
-	c.post(ctx, DrainRequested{})
-	for {
-		changed := c.options.Table.Changed()
-		if s := c.options.Table.Load(); s.Draining && len(s.Owned) == 0 {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return errs.Wrap(ctx.Err(), errs.Unavailable, "Check the platform and the other nodes of the service.",
-				"hand over all slices")
-		}
-	}
-}
-
 // Leave ends the lease, sets the node's state to left and returns when the platform has stored it.
 // Call it when no request is running any more.
 func (c *Control) Leave(ctx context.Context) error {
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -294,3 +294,19 @@
 		}
 	})
 }
+
+// Guards against a planned stop of a whole service that waits for a successor until its time is over,
+// and against one that leaves slices behind although a successor is there.
+func TestHasSuccessor(t *testing.T) {
+	self := &cluster.Node{ID: cluster.NodeID{Name: "n0", Incarnation: 1}, State: cluster.Draining, Target: cluster.TargetInfo{Service: "svc"}}
+	other := &cluster.Node{ID: cluster.NodeID{Name: "n1", Incarnation: 1}, State: cluster.Live, Target: cluster.TargetInfo{Service: "svc"}}
+	snapshot := &routing.Snapshot{
+		View:  viewOf(t, 1, []*cluster.Node{self, other}, cluster.Slice{Epoch: 1, Owner: self.ID}),
+		Self:  self.ID,
+		Owned: map[cluster.SliceID]routing.OwnedSlice{{Service: "svc"}: {Epoch: 1}},
+	}
+	require.True(t, hasSuccessor(snapshot))
+	other.State = cluster.Draining
+	snapshot.View = viewOf(t, 2, []*cluster.Node{self, other}, cluster.Slice{Epoch: 1, Owner: self.ID})
+	require.False(t, hasSuccessor(snapshot))
+}
--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"text/template"
 	"time"
@@ -23,6 +22,9 @@
 	OperatorToken = "development-operator"
 )
 
+// targetLeaveTimeout bounds how long a target that stops after its node waits for it.
+const targetLeaveTimeout = 2 * time.Second
+
 // startTimeout bounds how long a program may take to listen.
 const startTimeout = 20 * time.Second
 
@@ -77,7 +79,7 @@
 	f := &Fleet{Options: o}
 	var ports portAllocator = fixedPorts(o.FirstPort)
 	if o.FirstPort == 0 {
-		ports = freePort
+		ports = newFreePorts()
 	}
 	var err error
 	if f.PlatformAddress, err = ports(0); err != nil {
@@ -124,6 +126,7 @@
 		"--listen", h.Ports.Target,
 		"--admin", h.Ports.TargetAdmin,
 		"--node", h.Ports.Targets,
+		"--leave-timeout", targetLeaveTimeout.String(),
 	}
 	if spec.Fenced {
 		args = append(args, "--fenced")
@@ -179,34 +182,6 @@
 	return os.WriteFile(file, text.Bytes(), 0o600)
 }
 
-// portAllocator returns the address for an offset from the first port.
-type portAllocator func(offset int) (string, error)
-
-func fixedPorts(first int) portAllocator {
-	return func(offset int) (string, error) {
-		return net.JoinHostPort("127.0.0.1", strconv.Itoa(first+offset)), nil
-	}
-}
-
-// freePort returns a port that is free for TCP and UDP at the moment.
-func freePort(int) (string, error) {
-	const attempts = 20
-	for range attempts {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", errs.Wrap(err, errs.Unavailable, "Free some ports.", "free port")
-		}
-		address := listener.Addr().String()
-		packets, err := net.ListenPacket("udp", address)
-		_ = listener.Close()
-		if err == nil {
-			_ = packets.Close()
-			return address, nil
-		}
-	}
-	return "", errs.New(errs.Unavailable, "Free some ports.", "no port is free for both TCP and UDP")
-}
-
 // Start starts the platform, then all nodes and targets, and waits until they listen.
 func (f *Fleet) Start(ctx context.Context) error {
 	if err := f.Platform.Start(); err != nil {
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -18,6 +18,8 @@
 	NodeLeft       = register(Event{3110, log.InfoLevel, "the node left the fleet", ""})
 	OldIncarnation = register(Event{3111, log.WarnLevel, "an older incarnation of this node is still registered and has to be revoked",
 		"If its grantors are lost as well, make sure that the old process is gone and run citronctl node revoke."})
+	NoSuccessor = register(Event{3113, log.WarnLevel, "the node leaves with slices, because no other node can take them",
+		"Nothing if the whole service stops; otherwise start another node of the service."})
 	NoGrantorAnswers = register(Event{3112, log.WarnLevel, "the node can't register because no majority of grantors answers",
 		"Check the heartbeat address and the cluster secret of this node."})
 )
