--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -235,7 +235,7 @@
 func TestLeaveAtOnce(t *testing.T) {
 	for nodes := 2; nodes <= 4; nodes++ {
 		w := settled(t, nodes)
-		w.latency = 200 * time.Millisecond
+		w.latency = 300 * time.Millisecond
 		w.handle(w.members["n1"], LeaveRequested{})
 		w.run(settle)
 		require.True(t, w.members["n1"].finished)
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -89,7 +89,7 @@
 	case s.holder.End() <= s.now:
 		s.stepLapse()
 	default:
-		s.lapsedAt = 0
+		s.leaseBack()
 		s.updateRecord()
 	}
 }
@@ -100,6 +100,13 @@
 	return s.now < s.departBy && len(s.holders) > 0
 }
 
+func (s *state) leaseBack() {
+	if s.lapsedAt != 0 {
+		s.lapsedAt = 0
+		s.do(Log{Event: event.LeaseHeld, Subject: s.self.String()})
+	}
+}
+
 func (s *state) depart() {
 	s.departed = true
 	s.republish = true
--- a/internal/event/lease.go
+++ b/internal/event/lease.go
@@ -4,7 +4,7 @@
 
 // Events of leases and heartbeats, 3000 to 3099.
 var (
-	LeaseHeld = register(Event{3000, log.InfoLevel, "the node holds its lease", ""})
+	LeaseHeld = register(Event{3000, log.InfoLevel, "the node holds its lease again", ""})
 	LeaseLost = register(Event{3001, log.WarnLevel, "the node lost its lease and refuses keyed requests",
 		"Check the network between this node and its grantors if it happens again."})
 	LeaseVotePromised = register(Event{3002, log.InfoLevel, "promised not to renew the lease of a holder again", ""})
