Let a fleet recover by itself after all its nodes were restarted

Cause: after a restart of all nodes nobody could revoke the old incarnations, because their grantors were old incarnations too; each node needed an operator's command.

Ruled out: counting a replaced grantor as a vote; its old process may still answer renewals.

Change: a process that has bound the addresses of the old record revokes it after the time of a grant, because the old process must have ended. A process with other addresses needs the votes, also for a record without grantors.

After: go test -count=3 ./internal/control passes.

Conclusion: a restart of everything needs no operator, as long as an IP address belongs to one host.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/lease"
+	"github.com/citronvane/citronvane/internal/platform"
 )
 
 const settle = 10 * time.Second
@@ -257,3 +259,36 @@
 	require.True(t, w.allServed())
 	require.Empty(t, w.lapses)
 }
+
+// Guards against a fleet that waits for an operator after all its nodes were restarted at once, when no
+// grantor of an old incarnation is left to vote.
+func TestFleetRestart(t *testing.T) {
+	for nodes := 2; nodes <= 4; nodes++ {
+		w := settled(t, nodes)
+		for i := range nodes {
+			w.members[fmt.Sprintf("n%d", i)].alive = false
+		}
+		w.run(time.Second)
+		for i := range nodes {
+			w.start(fmt.Sprintf("n%d", i))
+		}
+		w.run(2 * settle)
+		w.requireHealthy()
+	}
+}
+
+// Guards against a host that takes a name over, and revokes without votes a process that still runs elsewhere.
+func TestNameOnAnotherHostNeedsVotes(t *testing.T) {
+	w := settled(t, 4)
+	old := w.record("n0")
+	s := newState(Identity{Name: "n0", Addresses: cluster.Addresses{Heartbeat: "elsewhere", Relay: "elsewhere"}}, testPlanner{}, newSharedGrantor())
+	s.handle(ViewChanged{View: w.platformView()}, 1)
+	object := platform.Object{Kind: cluster.KindNode, Name: "n0", Version: old.Version, Value: encode(old)}
+	s.handle(ReadDone{Key: s.ownKey(), Object: object}, 1)
+	for now := clock.Instant(1); now < clock.Instant(2*time.Second); now = now.Add(TickInterval) {
+		for _, a := range s.handle(Tick{}, now) {
+			write, ok := a.(Write)
+			require.False(t, ok && write.Purpose == Revoke, "revoked without votes")
+		}
+	}
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -172,13 +172,19 @@
 	s.writeOwn(record, Register)
 }
 
-// revokeOld revokes the incarnation that an earlier process registered under this name. Without
-// grantors nobody but its successor, which holds the same addresses, can do it.
+// revokeOld revokes the incarnation that an earlier process registered under this name. A process that
+// has bound the addresses of the old record has proved that the old process has ended, because an IP
+// address belongs to one host. After a restart of the whole fleet that is the only proof, since no
+// grantor of the old incarnation can vote any more. Otherwise the grantors have to vote.
 func (s *state) revokeOld(old *cluster.Node) {
-	if len(old.Grantors) > 0 {
+	if old.Addresses.Heartbeat != s.me.Addresses.Heartbeat || old.Addresses.Relay != s.me.Addresses.Relay {
 		s.startRevocation(old.ID, old)
 		return
 	}
+	// The target of this host may still hold the last grant of the old process.
+	if s.now < s.startedAt.Add(lease.ExpiryWait) {
+		return
+	}
 	record := old.Clone()
 	record.State = cluster.Revoked
 	record.RevokedBy = s.me.Name
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -59,9 +59,11 @@
 	planner plan.Planner
 	grantor *sharedGrantor
 
-	now     clock.Instant
-	view    *cluster.View
-	actions []Action
+	now clock.Instant
+	// startedAt is the time of the first event. The addresses of this node were bound before.
+	startedAt clock.Instant
+	view      *cluster.View
+	actions   []Action
 
 	// own is the node's record as last read from or written to the platform.
 	own ownRecord
@@ -165,6 +167,9 @@
 
 // advance moves the time on. After a pause of this process the silence of others means nothing.
 func (s *state) advance(now clock.Instant) {
+	if s.startedAt == 0 {
+		s.startedAt = now
+	}
 	paused := now.Sub(s.now) > pauseLimit
 	s.now = now
 	s.grantor.tick(now)
