Carry header values that are not UTF-8 through the target adapter

Cause: protobuf refuses strings that are not UTF-8. The entrance encoded such header values, but the adapter to the target passed them on encoded, and put values of answers into messages as they were.

Ruled out: refusing such requests; Latin-1 values are common in old clients.

Conclusion: callers and targets see the bytes that the other side sent.

--- a/internal/target/request.go
+++ b/internal/target/request.go
@@ -78,11 +78,11 @@
 		name := textproto.CanonicalMIMEHeaderKey(h.Name)
 		switch {
 		case name == "Host":
-			out.Host = h.Value
+			out.Host = wire.DecodeHeaderValue(h.Value)
 		case name == "User-Agent":
-			out.Header.Set(name, h.Value)
+			out.Header.Set(name, wire.DecodeHeaderValue(h.Value))
 		case !hopHeaders[name] && !dropped[name] && !strings.HasPrefix(name, ownPrefix):
-			out.Header.Add(name, h.Value)
+			out.Header.Add(name, wire.DecodeHeaderValue(h.Value))
 		}
 	}
 }
@@ -131,7 +131,7 @@
 			continue
 		}
 		for _, value := range values {
-			head.Headers = append(head.Headers, &wire.Header{Name: name, Value: value})
+			head.Headers = append(head.Headers, &wire.Header{Name: name, Value: wire.EncodeHeaderValue(value)})
 		}
 	}
 	return head
--- a/internal/target/runner_test.go
+++ b/internal/target/runner_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/citronvane/citronvane/internal/answer"
 	"github.com/citronvane/citronvane/internal/cluster"
@@ -157,7 +158,7 @@
 		got = r
 		body, _ = io.ReadAll(r.Body)
 		w.Header().Set("Citronvane-Token", "forged")
-		w.Header().Set("X-Answer", "1")
+		w.Header().Set("X-Answer", "\xe9t\xe9")
 		_, _ = io.WriteString(w, "whole")
 	}))
 	defer s.Close()
@@ -169,6 +170,7 @@
 		Headers: []*wire.Header{
 			{Name: "citronvane-epoch", Value: "99"}, {Name: "Idempotency-Key", Value: "id"}, {Name: "Connection", Value: "x-hop"},
 			{Name: "X-Hop", Value: "1"}, {Name: "Host", Value: "kilima.example"}, {Name: "X-Kept", Value: "1"},
+			{Name: "X-Latin", Value: wire.EncodeHeaderValue("Dar\xe9")},
 		},
 	}
 	resp, err := runnerFor(s.Listener.Addr().String()).Run(ctx, req)
@@ -184,9 +186,15 @@
 	require.Empty(t, got.Header.Get("X-Hop"))
 	require.Equal(t, "1", got.Header.Get("X-Kept"))
 	require.NotEmpty(t, got.Header.Get(HeaderDeadline))
+	require.Equal(t, "Dar\xe9", got.Header.Get("X-Latin"))
 	for _, h := range resp.Head.Headers {
 		require.NotEqual(t, "Citronvane-Token", h.Name)
+		if h.Name == "X-Answer" {
+			require.Equal(t, "\xe9t\xe9", wire.DecodeHeaderValue(h.Value))
+		}
 	}
+	_, err = proto.Marshal(resp.Head)
+	require.NoError(t, err, "an answer with a Latin-1 header must fit between nodes")
 	_, err = runnerFor(s.Listener.Addr().String()).Run(ctx, &Request{Method: "POST", Path: "/", Slice: -1})
 	require.NoError(t, err)
 	require.Empty(t, got.TransferEncoding, "an empty body must not be sent in chunks")
