Answer no_owner when the owner stays unreachable until the deadline

Cause: a keyed request whose owner refuses connections waits for another owner until its deadline. It showed with max_request 2 s, which is shorter than the longest wait for an owner.

Change: the work on a request remembers that no owner could be reached while there was time left, and then names that cause.

Conclusion: callers see one kind for a lost owner.

--- a/internal/entrance/perform.go
+++ b/internal/entrance/perform.go
@@ -53,7 +53,9 @@
 	tried   map[string]bool // names of pooled nodes
 	sent    int
 	unknown int
-	started time.Time
+	// unreachable says that no owner could be reached for an attempt while there was time left.
+	unreachable bool
+	started     time.Time
 }
 
 // perform sends the request until it has an answer for the caller. The result must be closed.
@@ -100,8 +102,10 @@
 	case o.refusal != nil:
 		o.notRun = true
 		o.retry = s.request.keyed()
+		s.unreachable = true
 	case o.err != nil:
 		o.notRun = o.notSent()
+		s.unreachable = s.unreachable || o.notRun && ctx.Err() == nil
 		o.retry = o.notRun || s.request.idempotent
 	case o.kind != "":
 		o.notRun = properties.NotRun
@@ -182,7 +186,7 @@
 		return o.replace(unknownRefusal(late, "an earlier attempt may have run"))
 	case o.refusal != nil || o.err == nil:
 		return o
-	case o.notRun && late:
+	case o.notRun && late && !(s.unreachable && s.request.keyed()):
 		return o.replace(answer.Refuse(answer.Deadline, "the deadline passed before a node was reached"))
 	case o.notRun && s.request.keyed():
 		return o.replace(answer.Refuse(answer.NoOwner, "the owner can't be reached").After(ownerRetryAfter))
--- a/internal/entrance/takeover_test.go
+++ b/internal/entrance/takeover_test.go
@@ -84,3 +84,14 @@
 		}
 	}
 }
+
+// Guards against an answer that blames the deadline although the owner could not be reached all the
+// time, so that the caller takes a lost owner for a slow one.
+func TestUnreachableOwnerIsNamedAtTheDeadline(t *testing.T) {
+	f := newFixture(t, func(context.Context, int, call) (*relay.Response, error) {
+		return nil, fmt.Errorf("dial: %w", relay.ErrNotSent)
+	})
+	kind, _, _, err := f.do("GET", "/booking/k", "", TimeoutHeader, "300")
+	require.NoError(t, err)
+	require.Equal(t, answer.NoOwner, kind)
+}
