Take free ports of a fleet from below the ephemeral range

Cause: free ports came from the kernel's range for outgoing connections, so a connection of a program that started earlier could take the port of a later one. Seen once: 'citronvane-node: relay: listen on ...: setsockopt: bad file descriptor'. gnet drops the error of the bind and reports that of the next call on the closed socket, which hides the address in use.

Change: ports are drawn at random from 10000 to 32000, probed for TCP and UDP, and used at most once in a fleet.

--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -77,7 +78,7 @@
 	f := &Fleet{Options: o}
 	var ports portAllocator = fixedPorts(o.FirstPort)
 	if o.FirstPort == 0 {
-		ports = freePort
+		ports = freePorts()
 	}
 	var err error
 	if f.PlatformAddress, err = ports(0); err != nil {
@@ -188,23 +189,42 @@
 	}
 }
 
-// freePort returns a port that is free for TCP and UDP at the moment.
-func freePort(int) (string, error) {
+// Range of free ports. It ends below the range from which Linux picks the ports of outgoing
+// connections, because those of programs that start earlier may take the port of a later one.
+const (
+	firstFreePort = 10000
+	endFreePort   = 32000
+)
+
+// freePorts returns ports that are free for TCP and UDP at the moment, each at most once.
+func freePorts() portAllocator {
 	const attempts = 20
-	for range attempts {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", errs.Wrap(err, errs.Unavailable, "Free some ports.", "free port")
-		}
-		address := listener.Addr().String()
-		packets, err := net.ListenPacket("udp", address)
-		_ = listener.Close()
-		if err == nil {
-			_ = packets.Close()
-			return address, nil
+	used := map[int]bool{}
+	return func(int) (string, error) {
+		for range attempts {
+			port := firstFreePort + rand.IntN(endFreePort-firstFreePort)
+			address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+			if !used[port] && isFree(address) {
+				used[port] = true
+				return address, nil
+			}
 		}
+		return "", errs.New(errs.Unavailable, "Free some ports.", "no port is free for both TCP and UDP")
+	}
+}
+
+func isFree(address string) bool {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = listener.Close()
+	packets, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
 	}
-	return "", errs.New(errs.Unavailable, "Free some ports.", "no port is free for both TCP and UDP")
+	_ = packets.Close()
+	return true
 }
 
 // Start starts the platform, then all nodes and targets, and waits until they listen.
