Test outages and faults of the platform together with a loss

Cause: no test let real processes live through an outage of the platform, or lose a host while it was down, slow or losing answers.

--- a/internal/devfleet/probe_test.go
+++ b/internal/devfleet/probe_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/citronvane/citronvane/internal/answer"
 )
 
 const (
@@ -16,6 +18,55 @@
 	probeBound = 15 * time.Second
 )
 
+// tally counts the answers to requests by their kind; an answer of a target counts as "ok", and none
+// at all as "none".
+type tally struct {
+	mu    sync.Mutex
+	kinds map[string]int
+}
+
+func (c *tally) add(kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.kinds == nil {
+		c.kinds = map[string]int{}
+	}
+	c.kinds[kind]++
+}
+
+// get makes one GET for the path and returns the kind of the answer.
+func (r *rig) get(entrance, path string) string {
+	response, err := r.client.Get("http://" + entrance + path)
+	if err != nil {
+		return "none"
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return "none"
+	}
+	if kind := response.Header.Get(answer.Header); kind != "" {
+		return kind
+	}
+	return "ok"
+}
+
+// count sends a GET for each key every interval for the duration, and counts the answers.
+func (r *rig) count(duration time.Duration, wanted, entrances []string) map[string]int {
+	const interval = 50 * time.Millisecond
+	var answers tally
+	var group sync.WaitGroup
+	for i, key := range wanted {
+		group.Go(func() {
+			for n := i; n < i+int(duration/interval); n++ {
+				group.Go(func() { answers.add(r.get(entrances[n%len(entrances)], "/booking/"+key)) })
+				time.Sleep(interval)
+			}
+		})
+	}
+	group.Wait()
+	return answers.kinds
+}
+
 // serve makes one request for the key through the entrance.
 func (r *rig) serve(method, entrance, key, identity string) (token string, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
--- a/internal/devfleet/rig_test.go
+++ b/internal/devfleet/rig_test.go
@@ -22,7 +22,9 @@
 )
 
 const (
-	keys = 40
+	// keys is the number of keys of the load. Probes look at more, so that each host owns some of them.
+	keys       = 40
+	probedKeys = 100
 	// settleTimeout bounds the start of a fleet and the return of slices, which are no subject of a bound here.
 	settleTimeout = 20 * time.Second
 	pollInterval  = 20 * time.Millisecond
@@ -168,11 +170,17 @@
 	return accepted.Number, err
 }
 
+// faults changes the faults of the platform.
+func (r *rig) faults(fields map[string]any) {
+	r.t.Helper()
+	require.NoError(r.t, r.call(http.MethodPost, r.PlatformAddress, "/admin/faults", fields, nil))
+}
+
 // keysOf returns the keys that the host owns in the view of the other host.
 func (r *rig) keysOf(h, viewer *devfleet.Host) []string {
 	r.t.Helper()
 	var owned []string
-	for i := range keys {
+	for i := range probedKeys {
 		var e operator.Explanation
 		key := fmt.Sprintf("k%d", i)
 		require.NoError(r.t, r.call(http.MethodGet, viewer.Ports.Operators, "/v1/explain?service=booking&key="+key, nil, &e))
