--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -28,7 +28,7 @@
 func BenchmarkControl(b *testing.B) {
 	programs := b.TempDir()
 	require.NoError(b, devfleet.Build(programs))
-	for _, size := range []struct{ hosts, slices int }{{4, 256}, {12, 256}, {24, 256}, {48, 256}, {12, 4096}, {12, 16384}} {
+	for _, size := range []struct{ hosts, slices int }{{4, 256}, {12, 256}, {24, 256}, {48, 256}, {12, 4096}, {12, 16384}, {48, 16384}} {
 		b.Run(fmt.Sprintf("hosts=%d/slices=%d", size.hosts, size.slices), func(b *testing.B) {
 			for b.Loop() {
 				measure(b, startFleet(b, programs, size.hosts, size.slices))
@@ -53,6 +53,16 @@
 	require.NoError(b, err)
 	b.Cleanup(fleet.Kill)
 	require.NoError(b, fleet.Start(b.Context()))
+	// All targets are there before the service is created, so that no balancing is measured.
+	awaitStatus(b, fleet, func(s *operator.Status) bool {
+		registered := 0
+		for _, n := range s.Nodes {
+			if n.Service == "booking" && len(n.Grantors) == 3 {
+				registered++
+			}
+		}
+		return registered == hosts
+	})
 	patch := b.TempDir() + "/patch.json"
 	require.NoError(b, os.WriteFile(patch, fmt.Appendf(nil, `{
 		"availability_zones": {"zone-0": {}, "zone-1": {}, "zone-2": {}, "zone-3": {}},
@@ -61,12 +71,14 @@
 	code := ctl.Run([]string{"--node", fleet.Hosts[0].Ports.Operators, "--token", devfleet.OperatorToken,
 		"config", "patch", "--base", "0", "--file", patch}, nil, os.Stderr, os.Stderr)
 	require.Equal(b, ctl.ExitOK, code)
-	awaitOwners(b, fleet)
+	awaitStatus(b, fleet, func(s *operator.Status) bool {
+		return len(s.Services) == 1 && s.Services[0].Unowned == 0 && s.Services[0].Moving == 0
+	})
 	time.Sleep(settleTime)
 	return fleet
 }
 
-func awaitOwners(b *testing.B, fleet *devfleet.Fleet) {
+func awaitStatus(b *testing.B, fleet *devfleet.Fleet, done func(*operator.Status) bool) {
 	require.Eventually(b, func() bool {
 		response, err := http.Get("http://" + fleet.Hosts[0].Ports.Operators + "/v1/status")
 		if err != nil {
@@ -74,10 +86,7 @@
 		}
 		defer func() { _ = response.Body.Close() }()
 		var status operator.Status
-		if json.NewDecoder(response.Body).Decode(&status) != nil || len(status.Services) != 1 {
-			return false
-		}
-		return status.Services[0].Unowned == 0 && status.Services[0].Moving == 0
+		return json.NewDecoder(response.Body).Decode(&status) == nil && done(&status)
 	}, 30*time.Second, 100*time.Millisecond)
 }
 
