Answer no_owner instead of no_rule before the configuration is known

Cause: a node listens for callers before it has read the stored objects. Until then its configuration is empty, and requests were answered no_rule (404), which tells callers that another attempt is of no use.

Ruled out: to listen only after the first objects have arrived, because the node of a new fleet has to listen before there is a configuration.

Change: without a configuration every request is answered no_owner (503, not run). The fixture of the entrance tests now numbers its configuration, as an accepted one is.

--- a/internal/entrance/entrance.go
+++ b/internal/entrance/entrance.go
@@ -123,9 +123,14 @@
 
 // read turns an HTTP request into a request for a service.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*request, *answer.Refusal) {
-	document := &h.opts.Table.Load().View.Configuration.Document
+	configuration := h.opts.Table.Load().View.Configuration
+	if configuration.Number == 0 {
+		// A node that just started takes requests before it has read the objects. "No rule" would
+		// tell its callers that another attempt is of no use.
+		return nil, answer.Refuse(answer.NoOwner, "the node knows no configuration yet").After(ownerRetryAfter)
+	}
 	if r.URL.Path == tokenPath && r.Method == http.MethodPost {
-		return readToken(document, w, r)
+		return readToken(&configuration.Document, w, r)
 	}
-	return readRequest(document, w, r)
+	return readRequest(&configuration.Document, w, r)
 }
--- a/internal/entrance/fake_test.go
+++ b/internal/entrance/fake_test.go
@@ -127,6 +127,7 @@
 
 func (f *fixture) publish(change func(v *cluster.View)) {
 	v := cluster.EmptyView()
+	v.Configuration.Number = 1 // A configuration that was accepted; a node without one answers no_owner.
 	v.Configuration.Document = config.Document{
 		Services: map[string]config.Service{
 			"booking":   {Kind: config.Keyed, Slices: 4, MaxRequest: config.Duration(5 * time.Second)},
--- a/internal/entrance/takeover_test.go
+++ b/internal/entrance/takeover_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/citronvane/citronvane/internal/answer"
 	"github.com/citronvane/citronvane/internal/cluster"
+	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/relay"
 )
 
@@ -95,3 +96,13 @@
 	require.NoError(t, err)
 	require.Equal(t, answer.NoOwner, kind)
 }
+
+// Guards against a node that just started and answers "no rule", which callers don't repeat, before it
+// has read the configuration.
+func TestNodeWithoutConfigurationAsksForAnotherAttempt(t *testing.T) {
+	f := newFixture(t, func(_ context.Context, _ int, c call) (*relay.Response, error) { return ok(c.node), nil })
+	f.publish(func(v *cluster.View) { v.Configuration = &config.Versioned{} })
+	kind, _, _, err := f.do("GET", "/booking/k", "")
+	require.NoError(t, err)
+	require.Equal(t, answer.NoOwner, kind)
+}
