Ask callers to close their connections while a node drains

Cause: the last step of a graceful stop closes idle connections. A request that a caller sends on one of them at that moment is cut off: nothing runs, but the caller sees only a lost connection and can't know that.

Change: while the node drains, each answer carries 'Connection: close', so that callers leave their connections before the listener closes.

Conclusion: the window is smaller, not closed: a connection that is idle for the whole drain, or one that waits in the listener's queue when it closes, can still be cut off.

--- a/internal/entrance/entrance.go
+++ b/internal/entrance/entrance.go
@@ -79,6 +79,11 @@
 		h.health(w)
 		return
 	}
+	if h.opts.Table.Load().Draining {
+		// The listener closes soon. A request that arrives on an idle connection just as that is
+		// closed is cut off, so callers are led away from their connections before.
+		w.Header().Set("Connection", "close")
+	}
 	started := time.Now()
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := h.tracer.Start(ctx, "entrance", trace.WithSpanKind(trace.SpanKindServer))
--- a/internal/entrance/takeover_test.go
+++ b/internal/entrance/takeover_test.go
@@ -106,3 +106,15 @@
 	require.NoError(t, err)
 	require.Equal(t, answer.NoOwner, kind)
 }
+
+// Guards against a graceful stop that cuts off requests on connections that callers keep open.
+func TestDrainingNodeEndsConnections(t *testing.T) {
+	f := newFixture(t, func(_ context.Context, _ int, c call) (*relay.Response, error) { return ok(c.node), nil })
+	draining := *f.table.Load()
+	draining.Draining = true
+	f.table.Publish(&draining)
+	response, err := f.client.Get(f.server.URL + "/booking/k")
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.True(t, response.Close)
+}
