--- a/internal/entrance/entrance.go
+++ b/internal/entrance/entrance.go
@@ -79,6 +79,11 @@
 		h.health(w)
 		return
 	}
+	if h.opts.Table.Load().Draining {
+		// The listener closes soon. A request that arrives on an idle connection just as that is
+		// closed is cut off, so callers are led away from their connections before.
+		w.Header().Set("Connection", "close")
+	}
 	started := time.Now()
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := h.tracer.Start(ctx, "entrance", trace.WithSpanKind(trace.SpanKindServer))
@@ -123,9 +128,14 @@
 
 // read turns an HTTP request into a request for a service.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*request, *answer.Refusal) {
-	document := &h.opts.Table.Load().View.Configuration.Document
+	configuration := h.opts.Table.Load().View.Configuration
+	if configuration.Number == 0 {
+		// A node that just started takes requests before it has read the objects. "No rule" would
+		// tell its callers that another attempt is of no use.
+		return nil, answer.Refuse(answer.NoOwner, "the node knows no configuration yet").After(ownerRetryAfter)
+	}
 	if r.URL.Path == tokenPath && r.Method == http.MethodPost {
-		return readToken(document, w, r)
+		return readToken(&configuration.Document, w, r)
 	}
-	return readRequest(document, w, r)
+	return readRequest(&configuration.Document, w, r)
 }
--- a/internal/entrance/takeover_test.go
+++ b/internal/entrance/takeover_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/citronvane/citronvane/internal/answer"
 	"github.com/citronvane/citronvane/internal/cluster"
+	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/relay"
 )
 
@@ -95,3 +96,25 @@
 	require.NoError(t, err)
 	require.Equal(t, answer.NoOwner, kind)
 }
+
+// Guards against a node that just started and answers "no rule", which callers don't repeat, before it
+// has read the configuration.
+func TestNodeWithoutConfigurationAsksForAnotherAttempt(t *testing.T) {
+	f := newFixture(t, func(_ context.Context, _ int, c call) (*relay.Response, error) { return ok(c.node), nil })
+	f.publish(func(v *cluster.View) { v.Configuration = &config.Versioned{} })
+	kind, _, _, err := f.do("GET", "/booking/k", "")
+	require.NoError(t, err)
+	require.Equal(t, answer.NoOwner, kind)
+}
+
+// Guards against a graceful stop that cuts off requests on connections that callers keep open.
+func TestDrainingNodeEndsConnections(t *testing.T) {
+	f := newFixture(t, func(_ context.Context, _ int, c call) (*relay.Response, error) { return ok(c.node), nil })
+	draining := *f.table.Load()
+	draining.Draining = true
+	f.table.Publish(&draining)
+	response, err := f.client.Get(f.server.URL + "/booking/k")
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.True(t, response.Close)
+}
