Refuse a service that is created again with another number of slices

Cause: the assignments of a removed service stay stored; with another number of slices their owners and epochs would belong to other keys.

Ruled out: deleting the assignments with the service; epochs must never go back, and a removal may be a mistake that is taken back.

Change: the operators' API compares new keyed services with the stored groups.

Conclusion: slices keep their keys for good.

--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -54,6 +54,9 @@
 	if err != nil {
 		return Accepted{}, withNumbers(err, patch.Base, stored.Number)
 	}
+	if err := checkSlices(a.Table.Load().View, &next.Document); err != nil {
+		return Accepted{}, err
+	}
 	value, err := json.Marshal(next)
 	if err != nil {
 		return Accepted{}, errs.Wrap(err, errs.Internal, "Report this fault.", "encode the configuration")
@@ -69,6 +72,23 @@
 	return Accepted{}, err
 }
 
+// checkSlices refuses a keyed service whose name had another number of slices before it was removed:
+// its stored assignments, and the epochs in them, belong to other sets of keys.
+func checkSlices(view *cluster.View, document *config.Document) error {
+	stored := map[string]int{}
+	for id, group := range view.Groups {
+		stored[id.Service] += len(group.Slices)
+	}
+	for _, name := range sortedKeys(document.Services) {
+		service, count := document.Services[name], stored[name]
+		if service.Kind == config.Keyed && count != 0 && count != service.Slices {
+			return errs.New(errs.Invalid, "Use the former number of slices, or another name for the service.",
+				"services.%s.slices: a service of this name had %d slices, not %d", name, count, service.Slices)
+		}
+	}
+	return nil
+}
+
 // settle finds out whether an attempt was accepted although its write did not say so.
 func (a *API) settle(ctx context.Context, patch config.Patch, cause error) (Accepted, error) {
 	ctx, cancel := context.WithTimeout(ctx, readBackTimeout)
