Build the attributes of a span only if it is recorded

Cause: a profile of an owner's node at 3,000 requests/s gave gate.startSpan 9% of its processor time at sample ratio 0.

Ruled out: no span for unsampled requests; the context still has to be passed on to the target.

Change: one tracer for the package; attributes after a check of IsRecording.

--- a/internal/gate/telemetry.go
+++ b/internal/gate/telemetry.go
@@ -19,7 +19,11 @@
 	traceparentField = "traceparent"
 )
 
-var traceContext = propagation.TraceContext{}
+var (
+	traceContext = propagation.TraceContext{}
+	// tracer follows the provider that the process installs at its start.
+	tracer = otel.Tracer(instrumentation)
+)
 
 // startSpan continues the trace of the entrance.
 func startSpan(ctx context.Context, head *wire.RequestHead) (context.Context, trace.Span) {
@@ -31,12 +35,17 @@
 	return startNamed(ctx, "target", trace.SpanKindClient, head)
 }
 
+// startNamed builds attributes only for a span that is recorded, because most are not.
 func startNamed(ctx context.Context, name string, kind trace.SpanKind, head *wire.RequestHead) (context.Context, trace.Span) {
-	return otel.Tracer(instrumentation).Start(ctx, name, trace.WithSpanKind(kind), trace.WithAttributes(
-		attribute.String("citronvane.service", head.GetService()),
-		attribute.String("http.request.method", head.GetMethod()),
-		attribute.Int("citronvane.slice", int(head.GetSlice())),
-	))
+	ctx, span := tracer.Start(ctx, name, trace.WithSpanKind(kind))
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("citronvane.service", head.GetService()),
+			attribute.String("http.request.method", head.GetMethod()),
+			attribute.Int("citronvane.slice", int(head.GetSlice())),
+		)
+	}
+	return ctx, span
 }
 
 // traceparent returns the field that continues the trace at the target.
