--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -28,8 +28,21 @@
 	started bool
 }
 
+// terminated is the exit code with which kingpin ends the program after --help or --version. kingpin
+// goes on if its terminate function returns, so that the function panics with it.
+type terminated int
+
 // Run executes one command line and returns its exit code.
-func Run(args []string, in io.Reader, out, errOut io.Writer) int {
+func Run(args []string, in io.Reader, out, errOut io.Writer) (code int) {
+	defer func() {
+		switch ended := recover().(type) {
+		case nil:
+		case terminated:
+			code = int(ended)
+		default:
+			panic(ended)
+		}
+	}()
 	a := &app{in: in, out: out}
 	k := kingpin.New("citronctl", "Operates a citronvane fleet through any of its nodes.")
 	k.Version(buildinfo.Version())
@@ -44,13 +57,8 @@
 	a.addQueries(k)
 	a.addZone(k)
 	a.addNode(k)
-	terminated := -1
-	k.Terminate(func(code int) { terminated = code })
-	_, err := k.Parse(args)
-	if terminated >= 0 {
-		return terminated
-	}
-	if err != nil {
+	k.Terminate(func(code int) { panic(terminated(code)) })
+	if _, err := k.Parse(args); err != nil {
 		_, _ = fmt.Fprintln(errOut, "citronctl:", errs.Describe(err))
 		if !a.started {
 			return ExitInvalid
