--- a/internal/devfleet/freeze_test.go
+++ b/internal/devfleet/freeze_test.go
@@ -29,7 +29,7 @@
 		require.NoError(t, err)
 		owned := r.keysOf(frozen, r.Hosts[0])
 		// Callers send to the frozen node as well, whose requests are served late or refused.
-		report := r.load(6*time.Second, r.callers(), nil)
+		report := r.load(r.callers(), nil)
 		time.Sleep(time.Second)
 		since := time.Now()
 		for _, p := range c.processes {
--- a/internal/devfleet/loss_test.go
+++ b/internal/devfleet/loss_test.go
@@ -21,7 +21,7 @@
 	entrances := r.callers(lost)
 	owned := r.keysOf(lost, r.Hosts[0])
 
-	report := r.load(3*time.Second, entrances, nil)
+	report := r.load(entrances, nil)
 	time.Sleep(time.Second)
 	killed := time.Now()
 	require.NoError(t, lost.Node.Kill())
@@ -37,7 +37,7 @@
 	lost = r.Hosts[0]
 	entrances = r.callers(lost)
 	owned = r.keysOf(lost, r.Hosts[1])
-	report = r.load(3*time.Second, entrances, func(o *load.Options) { o.Tokens = false })
+	report = r.load(entrances, func(o *load.Options) { o.Tokens = false })
 	time.Sleep(time.Second)
 	killed = time.Now()
 	require.NoError(t, lost.Node.Kill())
--- a/internal/devfleet/planned_test.go
+++ b/internal/devfleet/planned_test.go
@@ -22,7 +22,7 @@
 // sent or the answer says that nothing ran.
 func TestRollingRestart(t *testing.T) {
 	r := newRig(t)
-	report := r.load(12*time.Second, r.callers(), nil)
+	report := r.load(r.callers(), nil)
 	started := time.Now()
 	for _, h := range r.Hosts {
 		stopping := time.Now()
@@ -74,7 +74,7 @@
 		c := operator.ZoneCommand{State: state, Author: "test", Identity: uuid.NewString()}
 		require.NoError(t, r.call(http.MethodPost, r.Hosts[0].Ports.Operators, "/v1/availability-zones/"+zone+"/state", c, nil))
 	}
-	report := r.load(9*time.Second, r.callers(), nil)
+	report := r.load(r.callers(), nil)
 	time.Sleep(time.Second)
 	set(config.ZoneOut)
 	time.Sleep(3 * time.Second)
@@ -83,7 +83,7 @@
 	require.Zero(t, r.startsSince(zone, from), "no new work in the zone 3 s after it was taken out")
 	set(config.ZoneIn)
 	t.Logf("slices are back after %v", r.waitBalanced())
-	from = clock.Boot{}.Now() // The load goes on for another second or more.
+	from = clock.Boot{}.Now() // The load goes on for loadTail.
 	result := report()
 	require.Positive(t, r.startsSince(zone, from), "the zone works again")
 	require.Equal(t, result.Requests, result.Answers[load.OK], "no request fails")
--- a/internal/devfleet/platform_test.go
+++ b/internal/devfleet/platform_test.go
@@ -26,11 +26,13 @@
 	}
 
 	r.faults(map[string]any{"down": true})
-	report := r.load(4*time.Second, r.callers(), func(o *load.Options) { o.Retries = 0 })()
+	wait := r.load(r.callers(), func(o *load.Options) { o.Retries = 0 })
+	time.Sleep(3 * time.Second)
+	report := wait()
 	require.Equal(t, report.Requests, report.Answers[load.OK], "no request fails while the platform is down")
 	r.requireSafe(report, load.Passed)
 
-	wait := r.load(6*time.Second, entrances, nil)
+	wait = r.load(entrances, nil)
 	require.NoError(t, lost.Node.Kill())
 	require.NoError(t, lost.Target.Kill())
 	time.Sleep(servedAgain)
@@ -80,7 +82,7 @@
 	} {
 		owned := r.keysOf(c.lost, r.Hosts[0])
 		entrances := r.callers(c.lost)
-		report := r.load(4*time.Second, entrances, nil)
+		report := r.load(entrances, nil)
 		r.faults(c.fault)
 		time.Sleep(time.Second)
 		killed := time.Now()
--- a/internal/devfleet/rig_test.go
+++ b/internal/devfleet/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -28,6 +29,9 @@
 	// settleTimeout bounds the start of a fleet and the return of slices, which are no subject of a bound here.
 	settleTimeout = 20 * time.Second
 	pollInterval  = 20 * time.Millisecond
+	// maxLoad ends a load that no test has ended.
+	maxLoad  = 40 * time.Second
+	loadTail = 500 * time.Millisecond
 	// logTailBytes is what a failed test prints of each log.
 	logTailBytes = 1500
 	// fairShare is close to the 64 of 256 slices that each of the 4 booking hosts has in the end.
@@ -75,12 +79,26 @@
 		}
 	})
 	require.NoError(t, fleet.Start(t.Context()))
+	// Slices that are assigned when all targets are known need not move afterwards.
+	r.eventually(settleTimeout, "all targets are known", r.registered)
 	_, err = r.patch(r.Hosts[0], 0, configuration)
 	require.NoError(t, err)
 	t.Logf("fleet balanced after %v", r.waitBalanced())
 	return r
 }
 
+// registered reports whether the first host knows all nodes with their targets.
+func (r *rig) registered() bool {
+	status, err := r.status(r.Hosts[0])
+	known := 0
+	for _, n := range status.Nodes {
+		if n.State == cluster.Live && n.Service != "" && n.Reached && n.LeaseValid {
+			known++
+		}
+	}
+	return err == nil && known == len(r.Hosts)
+}
+
 func (r *rig) printLogs() {
 	for _, h := range r.Hosts {
 		data, err := os.ReadFile(filepath.Join(r.Directory, h.Spec.Name+".log"))
@@ -215,13 +233,14 @@
 	return hosts
 }
 
-// load drives requests through the nodes in the background. The returned function waits for the report.
-func (r *rig) load(duration time.Duration, nodes []string, change func(*load.Options)) func() *load.Report {
+// load drives requests through the nodes in the background. The returned function lets the load go on
+// for loadTail, so that it covers what follows a change, ends it and returns its report.
+func (r *rig) load(nodes []string, change func(*load.Options)) func() *load.Report {
 	r.t.Helper()
 	mix, err := load.ParseMix("keyed-post=4,keyed-get=4,pooled-get=2")
 	require.NoError(r.t, err)
 	o := load.Options{
-		Nodes: nodes, Rate: 300, Duration: duration, MaxInFlight: 2000, Timeout: 5 * time.Second,
+		Nodes: nodes, Rate: 300, Duration: maxLoad, MaxInFlight: 2000, Timeout: 5 * time.Second,
 		Retries: 100, RetryPause: 25 * time.Millisecond, Mix: mix, KeyedPath: "/booking", PooledPath: "/catalogue",
 		Keys: keys, AnswerSize: 500, BodySize: 100, Tokens: true, Seed: 1, Settle: 300 * time.Millisecond, Limits: load.NoLimits,
 	}
@@ -232,7 +251,7 @@
 		change(&o)
 	}
 	reports := make(chan *load.Report, 1)
-	ctx := r.t.Context()
+	ctx, cancel := context.WithCancel(r.t.Context())
 	go func() {
 		report, err := load.Run(ctx, o)
 		if err != nil {
@@ -241,6 +260,8 @@
 		reports <- report
 	}()
 	return func() *load.Report {
+		time.Sleep(loadTail)
+		cancel()
 		report := <-reports
 		require.NotNil(r.t, report)
 		r.t.Logf("answers %v, attempts %v, succeeded %+v", report.Answers, report.AttemptAnswers, report.Succeeded["all"])
