Let callers leave before a draining node closes its listener

Cause: the listener closed as soon as the slices had moved, often before the answers of the drain had asked every caller to close its connection. A request on a connection that is being closed is cut off.

Ruled out: a fixed pause; most callers leave with their next answer.

--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -40,17 +40,17 @@
 	announcements := http.NewServeMux()
 	announcements.Handle(target.AnnouncePath, n.targets)
 	var err error
-	if n.announce, err = n.serve("targets", n.settings.Listen.Targets, announcements); err != nil {
+	if n.announce, err = n.serve("targets", n.settings.Listen.Targets, announcements, nil); err != nil {
 		return err
 	}
-	if n.operators, err = n.serve("operators", n.settings.Listen.Operators, api); err != nil {
+	if n.operators, err = n.serve("operators", n.settings.Listen.Operators, api, nil); err != nil {
 		return err
 	}
-	n.callers, err = n.serve("callers", n.settings.Listen.Callers, n.entrance)
+	n.callers, err = n.serve("callers", n.settings.Listen.Callers, n.entrance, n.connections.track)
 	return err
 }
 
-func (n *Node) serve(name, address string, handler http.Handler) (*http.Server, error) {
+func (n *Node) serve(name, address string, handler http.Handler, hook func(net.Conn, http.ConnState)) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Unavailable, "Free the address or set another one in listen."+name+".", "listen for %s", name)
@@ -60,6 +60,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         hook,
 	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,8 +61,10 @@
 	retries    *retry.Budget
 	fleet      *retry.FleetRatio
 	callers    *http.Server
-	operators  *http.Server
-	announce   *http.Server
+	// connections are those of callers.
+	connections connections
+	operators   *http.Server
+	announce    *http.Server
 
 	// background counts the goroutines that run until cancel is called.
 	background sync.WaitGroup
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -20,14 +20,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settings.StopTimeout)
 	defer cancel()
 	err := n.control.Drain(ctx)
+	n.connections.awaitNone(ctx)
 	err = errors.Join(err, n.callers.Shutdown(ctx))
 	err = errors.Join(err, n.relay.Close(ctx))
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
 	err = errors.Join(err, n.control.Leave(leaveCtx))
 	n.end(ctx)
-	event.NodeStopped.On(n.logger).Err(err).Send()
-	return err
+	if err != nil {
+		event.NodeStopFailed.On(n.logger).Err(err).Send()
+		return err
+	}
+	event.NodeStopped.On(n.logger).Send()
+	return nil
 }
 
 // end stops what serves no request any more.
