Name the cause when the relay address is in use

Cause: gnet drops the error of the bind and reports that of a later call on the closed socket, 'setsockopt: bad file descriptor'.

Ruled out: leaving out the keep-alive option; it finds peers that vanished.

Change: the address is bound once by package net before gnet binds it. Truth values in logs are JSON booleans.

Figures: TestAddressInUseIsNamed fails without the probe and passes with it.

Conclusion: operators see 'address already in use'.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -63,6 +63,9 @@
 // Uint64 adds an unsigned number.
 func (l *Line) Uint64(key string, value uint64) *Line { l.entry.Uint64(key, value); return l }
 
+// Bool adds a truth value.
+func (l *Line) Bool(key string, value bool) *Line { l.entry.Bool(key, value); return l }
+
 // Any adds a value in its default format.
 func (l *Line) Any(key string, value any) *Line { l.entry.Str(key, fmt.Sprint(value)); return l }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -363,3 +363,12 @@
 	require.Positive(t, most.Load())
 	require.LessOrEqual(t, most.Load(), int64(maxStreams))
 }
+
+// Guards against an address in use that is reported as another error, so that nobody finds the cause.
+func TestAddressInUseIsNamed(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = taken.Close() }()
+	_, err = Listen(ServerOptions{Address: taken.Addr().String(), Logger: &log.Logger{Level: log.PanicLevel}})
+	require.ErrorContains(t, err, "address already in use")
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -59,6 +59,9 @@
 
 // Listen starts a server. It returns after the address is bound.
 func Listen(opts ServerOptions) (*Server, error) {
+	if err := probe(opts.Address); err != nil {
+		return nil, errs.Wrap(err, errs.Unavailable, "Free the relay address or set another one.", "relay: listen on %s", opts.Address)
+	}
 	s := &Server{
 		opts:    opts,
 		booted:  make(chan struct{}),
@@ -84,6 +87,15 @@
 	}
 }
 
+// probe reports why an address can't be bound. gnet hides that behind the error of a later call.
+func probe(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	return listener.Close()
+}
+
 // OnBoot keeps the engine for Close.
 func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
 	s.engine = engine
--- a/internal/target/announce.go
+++ b/internal/target/announce.go
@@ -196,7 +196,7 @@
 	s.replace(info)
 	s.leaving, s.lost = a.Leaving, false
 	event.TargetAnnounced.On(s.cfg.Logger).Str("service", info.Service).Str("address", info.Address).
-		Str("incarnation", info.Incarnation).Any("leaving", a.Leaving).Send()
+		Str("incarnation", info.Incarnation).Bool("leaving", a.Leaving).Send()
 	for _, l := range s.cfg.Listeners {
 		l.TargetAnnounced(info, a.Leaving)
 	}
