Keep the time of a takeover in one place

Cause: two mechanisms told a next owner that records of a slice had been lost: an identity without keys among the exported records, and the age of the takeover in each batch, from which control sets TakenOverAt.

Ruled out: keeping the mark instead; control knows of takeovers that happened before this node got the slice, also if a batch is lost.

Change: the mark is gone from identity and gate. In the property test the handover passes TakenOverAt on, as control does; it guards against the same second run.

Conclusion: one mechanism, still proved.

--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -6,7 +6,6 @@
 	"github.com/citronvane/citronvane/internal/admission"
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/event"
-	"github.com/citronvane/citronvane/internal/identity"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
@@ -27,14 +26,9 @@
 
 // ExportIdentities returns the identity records of a slice without requests in flight, for its next owner.
 func (g *Gate) ExportIdentities(slice cluster.SliceID) []*wire.Identity {
-	owned := g.cfg.Table.Load().Owned[slice]
-	o := identity.Ownership{
-		Slice: slice, Epoch: owned.Epoch, RecordEpoch: owned.RecordEpoch, TakenOverAt: owned.TakenOverAt,
-		Retention: g.retention(slice.Service),
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.identities.Export(g.cfg.Clock.Now(), o)
+	return g.identities.Export(g.cfg.Clock.Now(), slice)
 }
 
 // ImportIdentities takes identity records from the owner of a slice. It returns false, and takes none, if they are
--- a/internal/identity/handover.go
+++ b/internal/identity/handover.go
@@ -9,16 +9,11 @@
 )
 
 // Export returns the records of a slice for its next owner. The slice must have no running requests; a record that
-// is running nevertheless is exported as unknown. If records of the slice were lost within the retention time, the
-// first identity has neither key nor idempotency key, and its age is the time since that loss: the next owner has
-// to refuse opaque keys for the rest of the time, and its slice entry doesn't say so.
-func (s *Store) Export(now clock.Instant, o Ownership) []*wire.Identity {
+// is running nevertheless is exported as unknown.
+func (s *Store) Export(now clock.Instant, slice cluster.SliceID) []*wire.Identity {
 	s.Expire(now)
 	var out []*wire.Identity
-	if lostAt, lost := s.lostAt(o); lost && now.Sub(lostAt) <= o.Retention {
-		out = append(out, &wire.Identity{State: wire.Identity_UNKNOWN, AgeMs: now.Sub(lostAt).Milliseconds()})
-	}
-	sl := s.slices[o.Slice]
+	sl := s.slices[slice]
 	if sl == nil {
 		return out
 	}
@@ -51,17 +46,11 @@
 	}
 	for _, i := range batch.GetIdentities() {
 		updated := now.Add(-time.Duration(i.GetAgeMs()) * time.Millisecond)
-		if isLossMark(i) {
-			s.markLost(slice, updated)
-			continue
-		}
 		s.importOne(slice, i, updated, retention)
 	}
 	return true
 }
 
-func isLossMark(i *wire.Identity) bool { return i.GetKey() == "" && i.GetIdempotencyKey() == "" }
-
 // fits checks a batch. Answers don't count, because they can be left out.
 func (s *Store) fits(slice cluster.SliceID, batch *wire.IdentityBatch) bool {
 	if slice.Service == "" || slice.Index < 0 {
@@ -78,13 +67,6 @@
 	return s.count+count <= s.limits.Records && s.makeRoom(bytes)
 }
 
-func (s *Store) markLost(slice cluster.SliceID, at clock.Instant) {
-	sl := s.slice(slice)
-	if !sl.lost || at > sl.lostAt {
-		sl.lost, sl.lostAt = true, at
-	}
-}
-
 // importOne keeps a record that the store has, unless the import adds its answer. Imported records join the end of
 // the expiry order, so an older one may be kept longer than needed, never shorter.
 func (s *Store) importOne(slice cluster.SliceID, i *wire.Identity, updated clock.Instant, retention time.Duration) {
--- a/internal/identity/store.go
+++ b/internal/identity/store.go
@@ -59,7 +59,8 @@
 	Slice       cluster.SliceID
 	Epoch       uint64
 	RecordEpoch uint64
-	// TakenOverAt is when the node learned of an unplanned takeover, 0 after a planned handover.
+	// TakenOverAt is when the last unplanned takeover lost the records of the slice, 0 if there was none. It is kept
+	// across planned handovers.
 	TakenOverAt clock.Instant
 	Retention   time.Duration
 }
@@ -124,9 +125,6 @@
 // sliceRecords are the records of one slice.
 type sliceRecords struct {
 	records map[identity]*Record
-	// lost says that records of the slice were lost at lostAt, so that opaque keys can't be told apart for a while.
-	lost   bool
-	lostAt clock.Instant
 }
 
 // Store holds the records of a node.
@@ -215,22 +213,12 @@
 }
 
 func (s *Store) opaqueMayHaveRun(now clock.Instant, q Query) Decision {
-	lostAt, lost := s.lostAt(q.Ownership)
-	if lost && now.Sub(lostAt) <= q.Retention {
+	if q.TakenOverAt != 0 && now.Sub(q.TakenOverAt) <= q.Retention {
 		return Decision{Verdict: Unknown, Detail: "the records of this key were lost a short time ago"}
 	}
 	return Decision{Verdict: Admitted}
 }
 
-// lostAt returns when the records of the slice were last lost, here or at an earlier owner.
-func (s *Store) lostAt(o Ownership) (clock.Instant, bool) {
-	at, lost := o.TakenOverAt, o.TakenOverAt != 0
-	if sl := s.slices[o.Slice]; sl != nil && sl.lost && (!lost || sl.lostAt > at) {
-		return sl.lostAt, true
-	}
-	return at, lost
-}
-
 func (s *Store) admit(now clock.Instant, q Query, id identity) Decision {
 	r := &Record{slice: q.Slice, id: id, state: running, updated: now, retention: q.Retention}
 	if !s.makeRoom(r.bytes()) || s.count >= s.limits.Records {
--- a/internal/identity/store_test.go
+++ b/internal/identity/store_test.go
@@ -123,12 +123,12 @@
 	next := rapid.IntRange(0, 2).Draw(t, "next")
 	batch := &wire.IdentityBatch{
 		Service: testSlice.Service, Slice: int32(testSlice.Index), Epoch: f.entry.Epoch,
-		Identities: f.stores[f.owner].Export(f.now, f.ownership()),
+		Identities: f.stores[f.owner].Export(f.now, testSlice),
 	}
 	if next == f.owner || !f.stores[next].Import(f.now, batch, testRetention) {
 		return
 	}
-	f.owner, f.entries[next] = next, 0
+	f.owner, f.entries[next] = next, f.entries[f.owner] // A handover passes the time of the takeover on.
 	f.entry.Epoch++
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -32,7 +32,7 @@
 	RecordEpoch uint64
 	// ReadyAt is when the node may serve the slice; it lies later than the takeover for targets that are not fenced.
 	ReadyAt clock.Instant
-	// TakenOverAt is when this node learned of an unplanned takeover, 0 after a planned handover.
+	// TakenOverAt is when the last unplanned takeover lost the records of the slice, 0 if there was none.
 	TakenOverAt clock.Instant
 	// Moving says that the slice is being handed over and takes no new requests.
 	Moving bool
