--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -107,7 +107,10 @@
 
 func (f *Fleet) newHost(i int, spec NodeSpec, ports portAllocator) (*Host, error) {
 	h := &Host{Spec: spec}
-	fields := []*string{&h.Ports.Callers, &h.Ports.Relay, &h.Ports.Heartbeat, &h.Ports.Control, &h.Ports.Operators, &h.Ports.Targets, &h.Ports.Target, &h.Ports.TargetAdmin}
+	p := &h.Ports
+	fields := []*string{
+		&p.Callers, &p.Relay, &p.Heartbeat, &p.Control, &p.Operators, &p.Targets, &p.Target, &p.TargetAdmin,
+	}
 	for k, field := range fields {
 		address, err := ports(100 + 10*i + k + 1)
 		if err != nil {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -16,19 +16,23 @@
 // backend carries out the control calls of other nodes.
 type backend struct{ n *Node }
 
+// Vote answers a candidate that wants to revoke a holder.
 func (b backend) Vote(_ context.Context, r *wire.VoteRequest) (*wire.VoteResponse, error) {
 	return b.n.control.Vote(r), nil
 }
 
+// ImportIdentities takes the records of a slice that is handed to this node.
 func (b backend) ImportIdentities(_ context.Context, batch *wire.IdentityBatch) (*wire.ImportResponse, error) {
 	return &wire.ImportResponse{Accepted: b.n.control.ImportIdentities(batch)}, nil
 }
 
+// ReportPoison takes the suspects of a crash elsewhere.
 func (b backend) ReportPoison(_ context.Context, r *wire.PoisonReport) (*wire.PoisonResponse, error) {
 	b.n.gate.ReportPoison(r)
 	return &wire.PoisonResponse{}, nil
 }
 
+// Status says what this node has in force.
 func (b backend) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
 	status := b.n.control.Status()
 	status.Version = buildinfo.Version()
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -152,7 +152,9 @@
 			return Accepted{}, err
 		}
 		if _, known := stored.Document.AvailabilityZones[zone]; !known {
-			return Accepted{}, errs.New(errs.NotFound, "Check the name with citronctl status, or create the zone with a patch.", "availability zone %q is not configured", zone)
+			return Accepted{}, errs.New(errs.NotFound,
+				"Check the name with citronctl status, or create the zone with a patch.",
+				"availability zone %q is not configured", zone)
 		}
 		patch := config.Patch{Base: stored.Number, Identity: c.Identity, Author: c.Author, Merge: merge}
 		accepted, err := a.patchConfiguration(r, patch)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -171,6 +171,7 @@
 	failure Failure
 }
 
+// Unwrap returns the error with its kind and remedy.
 func (f *failureError) Unwrap() error { return f.error }
 
 func writeError(w http.ResponseWriter, err error) {
--- a/internal/target/standin/admission.go
+++ b/internal/target/standin/admission.go
@@ -18,6 +18,7 @@
 // refusal is a reason for not running a request.
 type refusal string
 
+// Error says why the request did not run.
 func (r refusal) Error() string { return "not run: " + string(r) }
 
 // Causes for stopping work that has begun.
