--- a/internal/entrance/perform.go
+++ b/internal/entrance/perform.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/citronvane/citronvane/internal/answer"
+	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/retry"
 	"github.com/citronvane/citronvane/internal/routing"
@@ -152,7 +153,7 @@
 		return false
 	}
 	if !s.request.keyed() {
-		return sleep(ctx, pause)
+		return clock.Sleep(ctx, pause)
 	}
 	// A node that is behind or was reached on a broken connection can serve in a moment. All other
 	// outcomes last until the slice has another owner.
@@ -253,16 +254,5 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // abandoned reports whether the caller has gone.
 func abandoned(r *http.Request) bool { return errors.Is(r.Context().Err(), context.Canceled) }
--- a/internal/load/journal.go
+++ b/internal/load/journal.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/target/standin"
 )
 
@@ -66,7 +67,7 @@
 			c.problem("journal of %s can't be read at the start: %v", j.address, err)
 		}
 		readers.Go(func() {
-			for sleep(ctx, collectInterval) {
+			for clock.Sleep(ctx, collectInterval) {
 				// A target that is down for now may be back later; the final reading decides.
 				_ = c.read(j)
 			}
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/citronvane/citronvane/internal/answer"
+	"github.com/citronvane/citronvane/internal/clock"
 )
 
 // request is one request of a caller, which may take several attempts.
@@ -108,7 +109,7 @@
 		last = g.send(ctx, a)
 		g.recorder.attempt(r, a.id, last)
 		g.tokens.put(r.key, last.token)
-		if n == g.options.Retries || !mayRetry(r.class, last) || !sleep(ctx, g.options.RetryPause) {
+		if n == g.options.Retries || !mayRetry(r.class, last) || !clock.Sleep(ctx, g.options.RetryPause) {
 			break
 		}
 	}
@@ -161,15 +162,3 @@
 	}
 	return last.notRun || class.idempotent() || class.Keyed
 }
-
-// sleep waits for d. It returns false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/citronvane/citronvane/internal/clock"
 )
 
 // runIDLength is the part of a UUID that tells runs apart in journals.
@@ -73,7 +75,7 @@
 		if !scheduled.Before(deadline) {
 			break
 		}
-		sleep(sending, time.Until(scheduled))
+		clock.Sleep(sending, time.Until(scheduled))
 		acquired := acquire(sending, slots)
 		if ctx.Err() != nil || !acquired && g.options.Rate == 0 {
 			break
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/platform"
@@ -42,7 +43,7 @@
 		if list {
 			event.ReplicaRelisted.On(f.log).Err(err).Send()
 		}
-		if !sleep(ctx, watchPause) {
+		if !clock.Sleep(ctx, watchPause) {
 			return ctx.Err()
 		}
 	}
@@ -112,15 +113,3 @@
 		}
 	}
 }
-
-// sleep waits and reports whether the wait ended before ctx did.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/phuslu/log"
 
+	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/event"
@@ -133,7 +134,7 @@
 		}
 		event.ReplicaFailed.On(f.log).Any("source", source).Err(err).Send()
 		f.metrics.failed.Add(ctx, 1, sourceKind(source))
-		sleep(ctx, f.failed(source))
+		clock.Sleep(ctx, f.failed(source))
 	}
 }
 
@@ -251,7 +252,7 @@
 // probePlatform tries the platform again while a node that should follow it follows a peer instead.
 func (f *Follower) probePlatform(ctx context.Context) {
 	retry := newRetry()
-	for sleep(ctx, retry.NextBackOff()+selectInterval) {
+	for clock.Sleep(ctx, retry.NextBackOff()+selectInterval) {
 		if !f.needsProbe() {
 			retry.Reset()
 			continue
--- a/internal/replica/follower_test.go
+++ b/internal/replica/follower_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/platform"
@@ -97,7 +98,7 @@
 		if err != nil || len(newer) > 0 || !time.Now().Before(end) {
 			return newer, last, err
 		}
-		if !sleep(ctx, 5*time.Millisecond) {
+		if !clock.Sleep(ctx, 5*time.Millisecond) {
 			return nil, 0, ctx.Err()
 		}
 	}
