Count the memory of identity records in full

Cause: in a run of 5 minutes an owner's node grew by 96 MiB for 34,393 records; the store counted about 0.7 KB for a record that took 1.5 KB of heap, because it left out the messages of stored headers and most of the record itself.

Ruled out: a leak; the nodes without records stayed at 35 MiB, and the heap profile names heads, bodies and records.

The run was before the change and was not repeated.

Conclusion: the bound of 32 MiB now means about 32 MiB of heap by calculation.

--- a/internal/identity/store.go
+++ b/internal/identity/store.go
@@ -17,8 +17,11 @@
 	MaxAnswerBytes = 64 << 10
 	// MaxKeyBytes bounds an idempotency key. A token has about 80 bytes plus the name of the service.
 	MaxKeyBytes = 512
-	// recordOverhead approximates the memory of a record beside its texts: struct, map entry and list element.
-	recordOverhead = 96
+	// recordOverhead approximates the memory of a record beside its texts: struct, map entry, list elements and
+	// the message of the answer's head.
+	recordOverhead = 352
+	// headerOverhead is the memory of a header of a stored answer beside its texts.
+	headerOverhead = 96
 	// ClockSkew is added to the lifetime of records, because the age of a token is the difference between wall
 	// clocks of two hosts. Tokens that lie further in the future are refused.
 	ClockSkew = time.Minute
@@ -113,7 +116,7 @@
 func (r *Record) answerBytes() int {
 	n := len(r.body)
 	for _, h := range r.head.GetHeaders() {
-		n += len(h.Name) + len(h.Value)
+		n += headerOverhead + len(h.Name) + len(h.Value)
 	}
 	return n
 }
