Use one function for the slices of a group and one for valid names

Cause: three places computed the index of a slice in a group, and settings and configuration had the same pattern for names.

Change: cluster.GroupID.Slice, config.ValidName. Behaviour is the same.

Conclusion: each rule stands once.

--- a/internal/cluster/slice.go
+++ b/internal/cluster/slice.go
@@ -38,6 +38,11 @@
 // ObjectName returns the name of the group's object.
 func (g GroupID) ObjectName() string { return fmt.Sprintf("%s/%d", g.Service, g.Index) }
 
+// Slice returns the slice at an offset in the group.
+func (g GroupID) Slice(offset int) SliceID {
+	return SliceID{Service: g.Service, Index: g.Index*GroupSize + offset}
+}
+
 // ParseGroupID is the inverse of ObjectName.
 func ParseGroupID(name string) (GroupID, bool) {
 	service, index, ok := strings.Cut(name, "/")
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -168,8 +168,11 @@
 	}
 }
 
+// ValidName reports whether a name can stand in URLs, object names and headers.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
 func validateName(field, name string, p *problems) {
-	if !namePattern.MatchString(name) {
+	if !ValidName(name) {
 		p.add(field, "the name must have 1 to 63 small letters, digits and hyphens, and start and end with a letter or digit")
 	}
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		for i, slice := range g.Slices {
-			sliceID := cluster.SliceID{Service: id.Service, Index: id.Index*cluster.GroupSize + i}
+			sliceID := id.Slice(i)
 			if s.takeovers[sliceID].recordEpoch != slice.RecordEpoch {
 				s.takeovers[sliceID] = takeover{recordEpoch: slice.RecordEpoch, at: s.now}
 			}
@@ -92,7 +92,7 @@
 			if s.self.IsZero() || slice.Owner != s.self {
 				continue
 			}
-			id := cluster.SliceID{Service: groupID.Service, Index: groupID.Index*cluster.GroupSize + i}
+			id := groupID.Slice(i)
 			held[id] = s.ownership(id, slice)
 			if !slice.Next.IsZero() {
 				s.wanted[id] = Move{Slice: id, Epoch: slice.Epoch, To: slice.Next}
--- a/internal/coordinator/draft.go
+++ b/internal/coordinator/draft.go
@@ -137,7 +137,7 @@
 func (d *draft) each(f func(entry)) {
 	for _, g := range d.groups {
 		for i := range g.slices {
-			f(entry{group: g, offset: i, id: cluster.SliceID{Service: d.service, Index: g.id.Index*cluster.GroupSize + i}})
+			f(entry{group: g, offset: i, id: g.id.Slice(i)})
 		}
 	}
 }
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"os"
 	"reflect"
-	"regexp"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -16,14 +15,13 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 
+	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/errs"
 )
 
 // maxFileBytes bounds the settings file, which has less than 2 KB in practice.
 const maxFileBytes = 64 << 10
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
-
 // ReadFile reads and checks a settings file.
 func ReadFile(path string) (*Settings, error) {
 	info, err := os.Stat(path)
@@ -70,7 +68,7 @@
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("yaml") })
 	mustRegister(v, "hostport", isHostPort)
-	mustRegister(v, "name", func(f validator.FieldLevel) bool { return namePattern.MatchString(f.Field().String()) })
+	mustRegister(v, "name", func(f validator.FieldLevel) bool { return config.ValidName(f.Field().String()) })
 	return v
 }
 
