--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -14,7 +14,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/phuslu/log"
 
-	"github.com/citronvane/citronvane/internal/platform/standin"
+	"github.com/citronvane/citronvane/internal/store/standin"
 )
 
 const (
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -8,7 +8,7 @@
 
 	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 // View is an immutable copy of all stored objects as one node knows them.
@@ -81,7 +81,7 @@
 // Apply returns a view with the changes added, and whether anything changed. A change whose version
 // is not higher than the one that the view holds is ignored, so that a view never goes back. An
 // object that can't be decoded is skipped and reported; the others are applied.
-func (v *View) Apply(changes []platform.Change, revision uint64) (*View, error) {
+func (v *View) Apply(changes []store.Change, revision uint64) (*View, error) {
 	next := &View{
 		Revision:             max(v.Revision, revision),
 		Configuration:        v.Configuration,
@@ -98,7 +98,7 @@
 	return next, errs.Join(errs.Invalid, "Inspect the object in the platform; another program may have written it.", failures...)
 }
 
-func (v *View) apply(c platform.Change) error {
+func (v *View) apply(c store.Change) error {
 	switch c.Kind {
 	case KindConfiguration:
 		return v.applyConfiguration(c)
@@ -110,7 +110,7 @@
 	return nil
 }
 
-func (v *View) applyConfiguration(c platform.Change) error {
+func (v *View) applyConfiguration(c store.Change) error {
 	if c.Name != ConfigurationName || c.Deleted || c.Version <= v.ConfigurationVersion {
 		return nil
 	}
@@ -123,7 +123,7 @@
 	return nil
 }
 
-func (v *View) applyNode(c platform.Change) error {
+func (v *View) applyNode(c store.Change) error {
 	held := v.Nodes[c.Name]
 	if held != nil && c.Version <= held.Version {
 		return nil
@@ -141,7 +141,7 @@
 	return nil
 }
 
-func (v *View) applyGroup(c platform.Change) error {
+func (v *View) applyGroup(c store.Change) error {
 	id, ok := ParseGroupID(c.Name)
 	if !ok {
 		return errs.New(errs.Invalid, "", "slice group has the malformed name %q", c.Name)
@@ -163,6 +163,6 @@
 	return nil
 }
 
-func decodeError(c platform.Change, err error) error {
+func decodeError(c store.Change, err error) error {
 	return errs.Wrap(err, errs.Invalid, "", "decode object %s/%s version %d", c.Kind, c.Name, c.Version)
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,8 +16,8 @@
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/control/plan"
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/routing"
+	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
@@ -41,13 +41,13 @@
 	Vote(ctx context.Context, address string, r *wire.VoteRequest) (*wire.VoteResponse, error)
 	// ImportIdentities returns nil after the node has accepted all records.
 	ImportIdentities(ctx context.Context, address string, batch *wire.IdentityBatch) error
-	Notify(ctx context.Context, address string, changes ...platform.Change) error
+	Notify(ctx context.Context, address string, changes ...store.Change) error
 }
 
 // Replica takes changes that this node wrote or read, ahead of the watch.
 type Replica interface {
 	// Feed must not block. It leads to a call of ViewChanged if anything is new.
-	Feed(changes ...platform.Change)
+	Feed(changes ...store.Change)
 }
 
 // Sender sends renewals. It must not block.
@@ -59,7 +59,7 @@
 type Options struct {
 	Identity Identity
 	Clock    clock.Clock
-	Store    platform.Store
+	Store    store.Store
 	Planner  plan.Planner
 	Gate     Gate
 	Peers    Peers
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,7 +10,7 @@
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/lease"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 const settle = 10 * time.Second
@@ -283,7 +283,7 @@
 	old := w.record("n0")
 	s := newState(Identity{Name: "n0", Addresses: cluster.Addresses{Heartbeat: "elsewhere", Relay: "elsewhere"}}, testPlanner{}, newSharedGrantor())
 	s.handle(ViewChanged{View: w.platformView()}, 1)
-	object := platform.Object{Kind: cluster.KindNode, Name: "n0", Version: old.Version, Value: encode(old)}
+	object := store.Object{Kind: cluster.KindNode, Name: "n0", Version: old.Version, Value: encode(old)}
 	s.handle(ReadDone{Key: s.ownKey(), Object: object}, 1)
 	for now := clock.Instant(1); now < clock.Instant(2*time.Second); now = now.Add(TickInterval) {
 		for _, a := range s.handle(Tick{}, now) {
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -17,8 +17,8 @@
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/routing"
+	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
@@ -32,19 +32,19 @@
 	imported []*wire.IdentityBatch
 }
 
-func (h *host) Get(_ context.Context, kind, name string) (platform.Object, error) {
+func (h *host) Get(_ context.Context, kind, name string) (store.Object, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if n := h.view.Nodes[name]; kind == cluster.KindNode && n != nil {
-		return platform.Object{Kind: kind, Name: name, Version: n.Version, Value: encode(n)}, nil
+		return store.Object{Kind: kind, Name: name, Version: n.Version, Value: encode(n)}, nil
 	}
-	return platform.Object{}, errs.New(errs.NotFound, "", "missing")
+	return store.Object{}, errs.New(errs.NotFound, "", "missing")
 }
 
 func (h *host) Put(_ context.Context, kind, name string, value []byte, expect uint64) (uint64, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	object := platform.Object{Kind: kind, Name: name, Value: value}
+	object := store.Object{Kind: kind, Name: name, Value: value}
 	id, _ := cluster.ParseGroupID(name)
 	var held uint64
 	if n := h.view.Nodes[name]; n != nil {
@@ -57,7 +57,7 @@
 	}
 	h.revision++
 	object.Version = h.revision
-	view, err := h.view.Apply([]platform.Change{{Object: object}}, h.revision)
+	view, err := h.view.Apply([]store.Change{{Object: object}}, h.revision)
 	h.view = view
 	for _, c := range h.controls {
 		c.ViewChanged(view)
@@ -65,14 +65,14 @@
 	return h.revision, err
 }
 
-func (h *host) List(context.Context) ([]platform.Object, uint64, error)  { return nil, 0, nil }
-func (h *host) Delete(context.Context, string, string, uint64) error     { return nil }
-func (h *host) Feed(...platform.Change)                                  {}
-func (h *host) Notify(context.Context, string, ...platform.Change) error { return nil }
+func (h *host) List(context.Context) ([]store.Object, uint64, error)  { return nil, 0, nil }
+func (h *host) Delete(context.Context, string, string, uint64) error  { return nil }
+func (h *host) Feed(...store.Change)                                  {}
+func (h *host) Notify(context.Context, string, ...store.Change) error { return nil }
 func (h *host) ExportIdentities(cluster.SliceID) []*wire.Identity {
 	return []*wire.Identity{{Key: "k"}}
 }
-func (h *host) Watch(context.Context, uint64, time.Duration) ([]platform.Change, uint64, error) {
+func (h *host) Watch(context.Context, uint64, time.Duration) ([]store.Change, uint64, error) {
 	return nil, 0, nil
 }
 
@@ -157,11 +157,11 @@
 
 // viewOf returns a view of records and slices at a revision.
 func viewOf(t *testing.T, revision uint64, nodes []*cluster.Node, list ...cluster.Slice) *cluster.View {
-	changes := []platform.Change{{Object: platform.Object{
+	changes := []store.Change{{Object: store.Object{
 		Kind: cluster.KindSlices, Name: "svc/0", Version: revision, Value: encode(&cluster.Group{Slices: list}),
 	}}}
 	for _, n := range nodes {
-		changes = append(changes, platform.Change{Object: platform.Object{
+		changes = append(changes, store.Change{Object: store.Object{
 			Kind: cluster.KindNode, Name: n.ID.Name, Version: revision, Value: encode(n),
 		}})
 	}
@@ -235,7 +235,7 @@
 				resign = a
 			case Read:
 				self.Version = 2
-				s.handle(ReadDone{Key: a.Key, Object: platform.Object{Version: 2, Value: encode(self)}}, now)
+				s.handle(ReadDone{Key: a.Key, Object: store.Object{Version: 2, Value: encode(self)}}, now)
 			}
 		}
 	}
@@ -245,7 +245,7 @@
 		_, writes := a.(Write)
 		require.False(t, writes)
 	}
-	s.handle(ReadDone{Key: s.ownKey(), Object: platform.Object{Version: 2, Value: encode(self)}}, now)
+	s.handle(ReadDone{Key: s.ownKey(), Object: store.Object{Version: 2, Value: encode(self)}}, now)
 	s.handle(ViewChanged{View: viewOf(t, 3, []*cluster.Node{{ID: self.ID, State: cluster.Live}})}, now)
 	require.Zero(t, s.leaseEnd)
 }
@@ -268,15 +268,15 @@
 	w.run(time.Second)
 	m := w.members["n0"]
 	v := m.state.view
-	changes := []platform.Change{}
+	changes := []store.Change{}
 	for i := range 600 {
 		n := &cluster.Node{ID: cluster.NodeID{Name: fmt.Sprintf("p%d", i), Incarnation: 1}, State: cluster.Live,
 			Location: cluster.Location{AvailabilityZone: fmt.Sprint(i % 4)}}
-		changes = append(changes, platform.Change{Object: platform.Object{Kind: cluster.KindNode, Name: n.ID.Name, Version: 99, Value: encode(n)}})
+		changes = append(changes, store.Change{Object: store.Object{Kind: cluster.KindNode, Name: n.ID.Name, Version: 99, Value: encode(n)}})
 	}
 	for i := range 64 {
 		value, _ := json.Marshal(&cluster.Group{Slices: make([]cluster.Slice, cluster.GroupSize)})
-		changes = append(changes, platform.Change{Object: platform.Object{Kind: cluster.KindSlices, Name: fmt.Sprintf("svc/%d", i), Version: 99, Value: value}})
+		changes = append(changes, store.Change{Object: store.Object{Kind: cluster.KindSlices, Name: fmt.Sprintf("svc/%d", i), Version: 99, Value: value}})
 	}
 	v, _ = v.Apply(changes, 99)
 	m.state.planner = nil
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -8,8 +8,8 @@
 	"github.com/citronvane/citronvane/internal/control/plan"
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/lease"
-	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/routing"
+	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
@@ -35,7 +35,7 @@
 	// ReadDone is the outcome of Read.
 	ReadDone struct {
 		Key    Key
-		Object platform.Object
+		Object store.Object
 		Err    error
 	}
 	// WriteDone is the outcome of Write.
@@ -136,11 +136,11 @@
 	// StopHandover abandons StartHandover.
 	StopHandover struct{ Slice cluster.SliceID }
 	// Feed hands a change to the replica ahead of the watch.
-	Feed struct{ Change platform.Change }
+	Feed struct{ Change store.Change }
 	// Notify sends a change to the nodes that have to act on it.
 	Notify struct {
 		Addresses []string
-		Change    platform.Change
+		Change    store.Change
 	}
 	// Log writes a log event about a node or a slice.
 	Log struct {
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -11,7 +11,7 @@
 	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/event"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 const zoneOut = config.ZoneOut
@@ -117,7 +117,7 @@
 	if missing {
 		o.written = 0
 	} else {
-		s.do(Feed{Change: platform.Change{Object: e.Object}})
+		s.do(Feed{Change: store.Change{Object: e.Object}})
 	}
 	if e.Key.Kind == cluster.KindNode {
 		s.nodeRead(e, missing)
@@ -165,7 +165,7 @@
 		return
 	}
 	o.written = e.Version
-	change := platform.Change{Object: platform.Object{
+	change := store.Change{Object: store.Object{
 		Kind: e.Write.Kind, Name: e.Write.Name, Version: e.Version, Value: e.Write.Value,
 	}}
 	s.do(Feed{Change: change})
@@ -193,7 +193,7 @@
 }
 
 // notifyCoordinators tells the nodes that may have to take slices over, the node itself and its grantors.
-func (s *state) notifyCoordinators(record *cluster.Node, change platform.Change) {
+func (s *state) notifyCoordinators(record *cluster.Node, change store.Change) {
 	names := s.view.LiveNames()
 	names = append(names[:min(3, len(names)):min(3, len(names))], record.ID.Name)
 	for _, id := range record.Grantors {
@@ -203,7 +203,7 @@
 }
 
 // notifyOwners tells the nodes that gained a slice by a write.
-func (s *state) notifyOwners(change platform.Change) {
+func (s *state) notifyOwners(change store.Change) {
 	id, ok := cluster.ParseGroupID(change.Name)
 	group := &cluster.Group{}
 	if !ok || json.Unmarshal(change.Value, group) != nil {
@@ -222,7 +222,7 @@
 	s.notify(names, change)
 }
 
-func (s *state) notify(names []string, change platform.Change) {
+func (s *state) notify(names []string, change store.Change) {
 	var addresses []string
 	seen := map[string]bool{s.me.Name: true}
 	for _, name := range names {
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -13,8 +13,8 @@
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/lease"
-	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/routing"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 const (
@@ -31,7 +31,7 @@
 	queue   calendar
 	count   int
 	members map[string]*member
-	objects map[Key]platform.Object
+	objects map[Key]store.Object
 	// revision is the platform's.
 	revision uint64
 	down     bool
@@ -78,7 +78,7 @@
 
 func newWorld(t testing.TB, nodes int) *world {
 	w := &world{
-		t: t, now: clock.Instant(time.Hour), members: map[string]*member{}, objects: map[Key]platform.Object{},
+		t: t, now: clock.Instant(time.Hour), members: map[string]*member{}, objects: map[Key]store.Object{},
 		latency: 2 * time.Millisecond, lapses: map[string]int{},
 		loseAnswer: func(Write) bool { return false }, cut: func(string, string) bool { return false },
 	}
@@ -218,12 +218,12 @@
 	}
 }
 
-func (w *world) feed(m *member, c platform.Change) {
+func (w *world) feed(m *member, c store.Change) {
 	w.deliver(m, func() {
 		if m.state.view == nil {
 			return
 		}
-		next, err := m.state.view.Apply([]platform.Change{c}, c.Version)
+		next, err := m.state.view.Apply([]store.Change{c}, c.Version)
 		require.NoError(w.t, err)
 		w.handle(m, ViewChanged{View: next})
 	})
@@ -261,15 +261,15 @@
 func (w *world) store(a Write) {
 	w.revision++
 	w.writes = append(w.writes, a)
-	object := platform.Object{Kind: a.Kind, Name: a.Name, Version: w.revision, Value: a.Value}
+	object := store.Object{Kind: a.Kind, Name: a.Name, Version: w.revision, Value: a.Value}
 	w.objects[a.key()] = object
 	for _, m := range w.members {
-		w.watch(m, platform.Change{Object: object})
+		w.watch(m, store.Change{Object: object})
 	}
 }
 
 // watch delivers a change once the platform is up.
-func (w *world) watch(m *member, c platform.Change) {
+func (w *world) watch(m *member, c store.Change) {
 	w.after(watchDelay, func() {
 		if w.down {
 			w.watch(m, c)
@@ -280,9 +280,9 @@
 }
 
 func (w *world) platformView() *cluster.View {
-	var changes []platform.Change
+	var changes []store.Change
 	for _, o := range w.objects {
-		changes = append(changes, platform.Change{Object: o})
+		changes = append(changes, store.Change{Object: o})
 	}
 	v, err := cluster.EmptyView().Apply(changes, w.revision)
 	require.NoError(w.t, err)
--- a/internal/coordinator/scale_test.go
+++ b/internal/coordinator/scale_test.go
@@ -16,16 +16,16 @@
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/peer"
-	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/replica"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 // fleet is a settled fleet and the plan for the loss of one of its hosts.
 type fleet struct {
 	before  *cluster.View
-	objects []platform.Change
+	objects []store.Change
 	lost    *cluster.View
-	changes []platform.Change
+	changes []store.Change
 }
 
 // newFleet builds a fleet. Names, addresses and grantors have the length that they have in production.
@@ -94,7 +94,7 @@
 		r := replica.New(quiet())
 		for _, o := range f.objects {
 			o.Value = append([]byte(nil), o.Value...)
-			r.Apply(replica.Batch{Changes: []platform.Change{o}, Revision: o.Version})
+			r.Apply(replica.Batch{Changes: []store.Change{o}, Revision: o.Version})
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
@@ -153,7 +153,7 @@
 		wait(f.before.Revision)
 		before, version := l.sent.Load(), f.lost.Revision+uint64(len(f.changes))
 		for b.Loop() {
-			changes := append([]platform.Change(nil), f.changes...)
+			changes := append([]store.Change(nil), f.changes...)
 			for i := range changes {
 				version++
 				changes[i].Version = version
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -13,7 +13,7 @@
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/control/plan"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 // session is a conditional store with coordinators, in virtual time.
@@ -26,7 +26,7 @@
 	frozen       map[string]*cluster.View
 	coordinators map[string]*Coordinator
 	refused      int
-	log          []platform.Change // all changes
+	log          []store.Change // all changes
 }
 
 func newSession() *session {
@@ -45,9 +45,9 @@
 	}
 	s.revision++
 	s.versions[key] = s.revision
-	change := platform.Change{Object: platform.Object{Kind: w.Kind, Name: w.Name, Version: s.revision, Value: w.Value}}
+	change := store.Change{Object: store.Object{Kind: w.Kind, Name: w.Name, Version: s.revision, Value: w.Value}}
 	s.log = append(s.log, change)
-	view, err := s.view.Apply([]platform.Change{change}, s.revision)
+	view, err := s.view.Apply([]store.Change{change}, s.revision)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/ctl/session_test.go
+++ b/internal/ctl/session_test.go
@@ -19,9 +19,9 @@
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/operator"
-	"github.com/citronvane/citronvane/internal/platform/standin"
 	"github.com/citronvane/citronvane/internal/replica"
 	"github.com/citronvane/citronvane/internal/routing"
+	"github.com/citronvane/citronvane/internal/store/standin"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
--- a/internal/devfleet/platform_test.go
+++ b/internal/devfleet/platform_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/citronvane/citronvane/internal/devfleet"
 	"github.com/citronvane/citronvane/internal/load"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 // Guards against traffic that depends on the platform, and against keys of a host lost during an
@@ -49,7 +49,7 @@
 	r.faults(map[string]any{"down": false})
 	served := r.untilServed(back, owned, entrances)
 	t.Logf("served again %v after the platform is back", served)
-	require.Less(t, served, servedAgain+platform.BackOffCap)
+	require.Less(t, served, servedAgain+store.BackOffCap)
 	r.requireSafe(wait(), load.Incomplete)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,12 +23,12 @@
 	"github.com/citronvane/citronvane/internal/gate"
 	"github.com/citronvane/citronvane/internal/heartbeat"
 	"github.com/citronvane/citronvane/internal/peer"
-	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/relay"
 	"github.com/citronvane/citronvane/internal/replica"
 	"github.com/citronvane/citronvane/internal/retry"
 	"github.com/citronvane/citronvane/internal/routing"
 	"github.com/citronvane/citronvane/internal/settings"
+	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/target"
 	"github.com/citronvane/citronvane/internal/telemetry"
 )
@@ -42,7 +42,7 @@
 	logger    *log.Logger
 	telemetry *telemetry.Telemetry
 
-	store    *platform.HTTPStore
+	store    *store.HTTPStore
 	table    *routing.Table
 	lease    *routing.Lease
 	replica  *replica.Replica
@@ -108,7 +108,7 @@
 // build creates all parts without starting any.
 func (n *Node) build() error {
 	var err error
-	n.store, err = platform.NewHTTPStore(platform.HTTPOptions{
+	n.store, err = store.NewHTTPStore(store.HTTPOptions{
 		URL:             "http://" + n.settings.Platform.Address,
 		ReadsPerSecond:  n.settings.Platform.ReadsPerSecond,
 		WritesPerSecond: n.settings.Platform.WritesPerSecond,
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -11,7 +11,7 @@
 	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/event"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 const (
@@ -214,7 +214,7 @@
 	if err != nil {
 		return Revoked{}, err
 	}
-	a.Replica.Feed(platform.Change{Object: platform.Object{Kind: cluster.KindNode, Name: name, Version: version, Value: value}})
+	a.Replica.Feed(store.Change{Object: store.Object{Kind: cluster.KindNode, Name: name, Version: version, Value: value}})
 	event.NodeRevokedByOperator.On(a.Logger).Str("node", node.ID.String()).Str("author", c.Author).Send()
 	return Revoked{Node: node.ID}, nil
 }
@@ -242,7 +242,7 @@
 }
 
 func (a *API) feed(value []byte, version uint64) {
-	a.Replica.Feed(platform.Change{Object: platform.Object{
+	a.Replica.Feed(store.Change{Object: store.Object{
 		Kind:    cluster.KindConfiguration,
 		Name:    cluster.ConfigurationName,
 		Version: version,
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,8 +17,8 @@
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/config"
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/routing"
+	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
@@ -27,7 +27,7 @@
 
 // Replica takes the changes that a command has written, ahead of the watch.
 type Replica interface {
-	Feed(changes ...platform.Change)
+	Feed(changes ...store.Change)
 }
 
 // Peers asks other nodes what they have in force.
@@ -49,7 +49,7 @@
 
 // Options are the parts that the API works with.
 type Options struct {
-	Store    platform.Store
+	Store    store.Store
 	Replica  Replica
 	Table    *routing.Table
 	Lease    *routing.Lease
--- a/internal/peer/changes.go
+++ b/internal/peer/changes.go
@@ -9,8 +9,8 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/replica"
+	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
@@ -64,7 +64,7 @@
 }
 
 // deflate returns the compressed value. Callers that need the same value at once wait for one of them.
-func (e *encoder) deflate(o platform.Object) []byte {
+func (e *encoder) deflate(o store.Object) []byte {
 	key := valueKey{o.Kind, o.Name, o.Version}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -86,14 +86,14 @@
 
 // decode returns the batch in a message, or an error of kind Invalid or TooLarge.
 func decode(m *wire.Changes) (replica.Batch, error) {
-	changes := make([]platform.Change, 0, len(m.GetChanges()))
+	changes := make([]store.Change, 0, len(m.GetChanges()))
 	for _, c := range m.GetChanges() {
 		value, err := inflate(c)
 		if err != nil {
 			return replica.Batch{}, err
 		}
-		changes = append(changes, platform.Change{
-			Object:  platform.Object{Kind: c.GetKind(), Name: c.GetName(), Version: c.GetVersion(), Value: value},
+		changes = append(changes, store.Change{
+			Object:  store.Object{Kind: c.GetKind(), Name: c.GetName(), Version: c.GetVersion(), Value: value},
 			Deleted: c.GetDeleted(),
 		})
 	}
@@ -104,13 +104,13 @@
 	if !c.GetDeflated() {
 		return c.GetValue(), nil
 	}
-	limited := io.LimitReader(flate.NewReader(bytes.NewReader(c.GetValue())), platform.MaxValueBytes+1)
+	limited := io.LimitReader(flate.NewReader(bytes.NewReader(c.GetValue())), store.MaxValueBytes+1)
 	value, err := io.ReadAll(limited)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Invalid, "", "decompress object %s/%s", c.GetKind(), c.GetName())
 	}
-	if len(value) > platform.MaxValueBytes {
-		return nil, errs.New(errs.TooLarge, "", "object %s/%s has more than %d bytes", c.GetKind(), c.GetName(), platform.MaxValueBytes)
+	if len(value) > store.MaxValueBytes {
+		return nil, errs.New(errs.TooLarge, "", "object %s/%s has more than %d bytes", c.GetKind(), c.GetName(), store.MaxValueBytes)
 	}
 	return value, nil
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -8,8 +8,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/replica"
+	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
@@ -78,7 +78,7 @@
 }
 
 // Notify delivers changes that this node wrote.
-func (c *Client) Notify(ctx context.Context, address string, changes ...platform.Change) error {
+func (c *Client) Notify(ctx context.Context, address string, changes ...store.Change) error {
 	for _, b := range replica.Split(changes) {
 		if _, err := call(ctx, c, address, notifyTimeout, wire.PeerClient.Notify, c.encoder.encode(b)); err != nil {
 			return err
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -15,8 +15,8 @@
 	"google.golang.org/grpc"
 
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
 	"github.com/citronvane/citronvane/internal/replica"
+	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/wire"
 )
 
@@ -70,10 +70,10 @@
 	return f
 }
 
-func change(name string, version uint64, size int) platform.Change {
+func change(name string, version uint64, size int) store.Change {
 	value := make([]byte, size)
 	_, _ = rand.NewChaCha8([32]byte{byte(version)}).Read(value) // does not compress
-	return platform.Change{Object: platform.Object{Kind: "test", Name: name, Version: version, Value: value}}
+	return store.Change{Object: store.Object{Kind: "test", Name: name, Version: version, Value: value}}
 }
 
 // Guards against calls from outside the cluster, also on streams, where unary checks do not run.
@@ -106,7 +106,7 @@
 // can't stop while it has followers.
 func TestFollow(t *testing.T) {
 	f := start(t, "secret")
-	f.replica.Apply(replica.Batch{Changes: []platform.Change{change("old", 1, 1), change("big", 2, 3<<18), change("large", 3, 3<<18)}, Revision: 3})
+	f.replica.Apply(replica.Batch{Changes: []store.Change{change("old", 1, 1), change("big", 2, 3<<18), change("large", 3, 3<<18)}, Revision: 3})
 	received := make(chan replica.Batch, 100)
 	done := make(chan error, 1)
 	go func() {
@@ -132,7 +132,7 @@
 	require.Equal(t, "new", next().Changes[0].Name)
 	gone := change("old", 10, 0)
 	gone.Deleted = true
-	f.replica.Apply(replica.Batch{Changes: []platform.Change{gone}, Revision: 10})
+	f.replica.Apply(replica.Batch{Changes: []store.Change{gone}, Revision: 10})
 	require.True(t, next().Changes[0].Deleted)
 
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -152,7 +152,7 @@
 	}()
 	time.Sleep(50 * time.Millisecond)
 	for i := range uint64(64) {
-		f.replica.Apply(replica.Batch{Changes: []platform.Change{change("a", i+1, 1<<20)}, Revision: i + 1})
+		f.replica.Apply(replica.Batch{Changes: []store.Change{change("a", i+1, 1<<20)}, Revision: i + 1})
 	}
 	close(release)
 	select {
@@ -173,15 +173,15 @@
 // Guards against values that change on the way, and against a small message that expands without bound.
 func TestValuesAreCompressedWithinBounds(t *testing.T) {
 	e := newEncoder()
-	for _, size := range []int{0, deflateMin - 1, deflateMin, platform.MaxValueBytes} {
-		in := replica.Batch{Changes: []platform.Change{change("a", uint64(size), size)}, Revision: 3}
+	for _, size := range []int{0, deflateMin - 1, deflateMin, store.MaxValueBytes} {
+		in := replica.Batch{Changes: []store.Change{change("a", uint64(size), size)}, Revision: 3}
 		for range 2 {
 			out, err := decode(e.encode(in))
 			require.NoError(t, err)
 			require.Equal(t, in, out)
 		}
 	}
-	_, err := decode(e.encode(replica.Batch{Changes: []platform.Change{change("a", 1, platform.MaxValueBytes+1)}}))
+	_, err := decode(e.encode(replica.Batch{Changes: []store.Change{change("a", 1, store.MaxValueBytes+1)}}))
 	require.True(t, errs.Is(err, errs.TooLarge))
 	_, err = decode(&wire.Changes{Changes: []*wire.Change{{Value: []byte("junk"), Deflated: true}}})
 	require.True(t, errs.Is(err, errs.Invalid))
--- a/internal/replica/feed.go
+++ b/internal/replica/feed.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 const (
@@ -53,13 +53,13 @@
 
 // newerThan returns all objects after the revision, split by size. Only the last batch has a revision.
 func (r *Replica) newerThan(since uint64) []Batch {
-	var newer []platform.Change
+	var newer []store.Change
 	for _, c := range r.objects {
 		if c.Version > since {
 			newer = append(newer, c)
 		}
 	}
-	slices.SortFunc(newer, func(a, b platform.Change) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(newer, func(a, b store.Change) int { return cmp.Compare(a.Version, b.Version) })
 	batches := Split(newer)
 	if len(batches) == 0 {
 		batches = []Batch{{}}
@@ -69,7 +69,7 @@
 }
 
 // Split divides changes into batches of about MaxBatchBytes.
-func Split(changes []platform.Change) []Batch {
+func Split(changes []store.Change) []Batch {
 	var batches []Batch
 	size := 0
 	for i, c := range changes {
@@ -85,7 +85,7 @@
 }
 
 // changeBytes is the size of a change in memory and, nearly, in a message.
-func changeBytes(c platform.Change) int { return len(c.Value) + len(c.Kind) + len(c.Name) + 32 }
+func changeBytes(c store.Change) int { return len(c.Value) + len(c.Kind) + len(c.Name) + 32 }
 
 func batchBytes(b Batch) int64 {
 	total := 0
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -7,7 +7,7 @@
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/event"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 const (
@@ -93,7 +93,7 @@
 // starts with a complete list, which also tells what was deleted.
 func (f *Follower) receiver(s Source, since uint64) func(Batch) {
 	listing := since == 0
-	var listed []platform.Object
+	var listed []store.Object
 	return func(b Batch) {
 		f.succeeded(s)
 		if !listing {
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -12,7 +12,7 @@
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/event"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 const (
@@ -33,7 +33,7 @@
 // Follower keeps a replica up to date from the platform or a peer.
 type Follower struct {
 	replica *Replica
-	store   platform.Store
+	store   store.Store
 	peers   Peers
 	self    string
 	seeds   []string
@@ -65,7 +65,7 @@
 // FollowerOptions are the surroundings of a Follower.
 type FollowerOptions struct {
 	Replica *Replica
-	Store   platform.Store
+	Store   store.Store
 	Peers   Peers
 	// Self is the name of the node.
 	Self string
--- a/internal/replica/follower_test.go
+++ b/internal/replica/follower_test.go
@@ -12,12 +12,12 @@
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 // Guards against every node calling the platform, and against followers that stay without a source.
 func TestSelectSource(t *testing.T) {
-	view, err := cluster.EmptyView().Apply([]platform.Change{
+	view, err := cluster.EmptyView().Apply([]store.Change{
 		node("a1", "a", 1), node("a2", "a", 2), node("a3", "a", 3), node("b1", "b", 4),
 	}, 4)
 	require.NoError(t, err)
@@ -43,9 +43,9 @@
 
 // fakeStore is a platform with a list and pending watches.
 type fakeStore struct {
-	platform.Store
+	store.Store
 	mu      sync.Mutex
-	changes []platform.Change
+	changes []store.Change
 	down    bool
 	oldest  uint64
 	calls   int
@@ -65,14 +65,14 @@
 	return nil
 }
 
-func (s *fakeStore) List(context.Context) ([]platform.Object, uint64, error) {
+func (s *fakeStore) List(context.Context) ([]store.Object, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	newest := map[string]platform.Change{}
+	newest := map[string]store.Change{}
 	for _, c := range s.changes {
 		newest[c.Name] = c
 	}
-	var objects []platform.Object
+	var objects []store.Object
 	for _, c := range newest {
 		if !c.Deleted {
 			objects = append(objects, c.Object)
@@ -81,11 +81,11 @@
 	return objects, s.changes[len(s.changes)-1].Version, s.call()
 }
 
-func (s *fakeStore) Watch(ctx context.Context, since uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+func (s *fakeStore) Watch(ctx context.Context, since uint64, wait time.Duration) ([]store.Change, uint64, error) {
 	for end := time.Now().Add(wait); ; {
 		s.mu.Lock()
 		err, compacted, last := s.call(), since < s.oldest, s.changes[len(s.changes)-1].Version
-		var newer []platform.Change
+		var newer []store.Change
 		for _, c := range s.changes {
 			if c.Version > since {
 				newer = append(newer, c)
@@ -131,10 +131,10 @@
 // peer, and when its position was compacted.
 func TestFollowerKeepsUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{changes: []platform.Change{node("a1", "a", 1), node("b1", "b", 2)}}
+		fake := &fakeStore{changes: []store.Change{node("a1", "a", 1), node("b1", "b", 2)}}
 		peer := New(quiet())
 		r := New(quiet())
-		f := NewFollower(FollowerOptions{Replica: r, Store: store, Peers: fakePeers{"b1:1": peer}, Self: "a1", Log: quiet()})
+		f := NewFollower(FollowerOptions{Replica: r, Store: fake, Peers: fakePeers{"b1:1": peer}, Self: "a1", Log: quiet()})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
@@ -142,20 +142,20 @@
 		time.Sleep(time.Second)
 		require.Equal(t, uint64(2), r.Revision())
 
-		store.set(func() { store.down = true })
-		peer.Replace([]platform.Object{node("a1", "a", 1).Object, node("b1", "b", 3).Object}, 3)
+		fake.set(func() { fake.down = true })
+		peer.Replace([]store.Object{node("a1", "a", 1).Object, node("b1", "b", 3).Object}, 3)
 		f.HeardRevision("b1", 3)
 		time.Sleep(2 * time.Second)
 		require.Equal(t, uint64(3), r.Revision(), "follows a peer while the platform is down")
 		time.Sleep(time.Minute)
-		peer.Apply(Batch{Changes: []platform.Change{node("b1", "b", 4)}, Revision: 4})
+		peer.Apply(Batch{Changes: []store.Change{node("b1", "b", 4)}, Revision: 4})
 		time.Sleep(time.Second)
 		require.Equal(t, uint64(4), r.Revision(), "stays at the peer after it has caught up")
 
-		store.set(func() {
-			store.down = false
-			store.oldest = 5
-			store.changes = append(store.changes, node("b1", "b", 4), removal("b1", 5), node("a2", "a", 6))
+		fake.set(func() {
+			fake.down = false
+			fake.oldest = 5
+			fake.changes = append(fake.changes, node("b1", "b", 4), removal("b1", 5), node("a2", "a", 6))
 		})
 		time.Sleep(time.Minute)
 		require.Equal(t, uint64(6), r.Revision(), "returns to the platform and lists again")
@@ -166,11 +166,11 @@
 // Guards against a node that trusts a source that is stuck, though it hears of newer revisions.
 func TestFollowerLeavesStuckSource(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{changes: []platform.Change{node("a1", "a", 1), node("b1", "b", 2)}}
+		fake := &fakeStore{changes: []store.Change{node("a1", "a", 1), node("b1", "b", 2)}}
 		peer := New(quiet())
-		peer.Replace([]platform.Object{node("a1", "a", 1).Object, node("b1", "b", 2).Object, node("b2", "b", 7).Object}, 7)
+		peer.Replace([]store.Object{node("a1", "a", 1).Object, node("b1", "b", 2).Object, node("b2", "b", 7).Object}, 7)
 		r := New(quiet())
-		f := NewFollower(FollowerOptions{Replica: r, Store: store, Peers: fakePeers{"b1:1": peer}, Self: "a1", Log: quiet()})
+		f := NewFollower(FollowerOptions{Replica: r, Store: fake, Peers: fakePeers{"b1:1": peer}, Self: "a1", Log: quiet()})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
@@ -187,16 +187,16 @@
 // Guards against a herd: a node without platform and peers must back off.
 func TestFollowerBacksOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{changes: []platform.Change{node("a1", "a", 1)}, down: true}
-		f := NewFollower(FollowerOptions{Replica: New(quiet()), Store: store, Self: "a1", Log: quiet()})
+		fake := &fakeStore{changes: []store.Change{node("a1", "a", 1)}, down: true}
+		f := NewFollower(FollowerOptions{Replica: New(quiet()), Store: fake, Self: "a1", Log: quiet()})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
 		go f.Run(ctx)
 		time.Sleep(5 * time.Minute)
 		synctest.Wait()
-		store.mu.Lock()
-		defer store.mu.Unlock()
-		require.Less(t, store.calls, 150, "mean delay is 5 s once the back-off has grown")
+		fake.mu.Lock()
+		defer fake.mu.Unlock()
+		require.Less(t, fake.calls, 150, "mean delay is 5 s once the back-off has grown")
 	})
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,13 +10,13 @@
 
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/event"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 // Batch is a set of changes. Revision is the revision up to which the receiver knows everything once it has applied
 // the batch, or 0 if the batch alone does not extend that.
 type Batch struct {
-	Changes  []platform.Change
+	Changes  []store.Change
 	Revision uint64
 }
 
@@ -28,7 +28,7 @@
 	view atomic.Pointer[cluster.View]
 
 	mu      sync.Mutex
-	objects map[objectKey]platform.Change
+	objects map[objectKey]store.Change
 	// floor is the version up to which deletions may have been forgotten.
 	floor      uint64
 	tombstones int
@@ -44,7 +44,7 @@
 func New(logger *log.Logger) *Replica {
 	r := &Replica{
 		log:     logger,
-		objects: map[objectKey]platform.Change{},
+		objects: map[objectKey]store.Change{},
 		changed: make(chan struct{}),
 		feeds:   map[*Feed]struct{}{},
 	}
@@ -75,18 +75,18 @@
 
 // Feed adds changes that arrive out of sequence: the node's own successful writes and notifications.
 // They do not raise the revision, because changes before them may still be missing.
-func (r *Replica) Feed(changes ...platform.Change) { r.Apply(Batch{Changes: changes}) }
+func (r *Replica) Feed(changes ...store.Change) { r.Apply(Batch{Changes: changes}) }
 
 // Replace adds a complete list of the objects as of the revision. Objects that the list lacks were
 // deleted, unless the replica holds a version newer than the list: such a deletion is not absorbed.
-func (r *Replica) Replace(objects []platform.Object, revision uint64) {
+func (r *Replica) Replace(objects []store.Object, revision uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed := make(map[objectKey]bool, len(objects))
-	changes := make([]platform.Change, 0, len(objects))
+	changes := make([]store.Change, 0, len(objects))
 	for _, o := range objects {
 		listed[objectKey{o.Kind, o.Name}] = true
-		changes = append(changes, platform.Change{Object: o})
+		changes = append(changes, store.Change{Object: o})
 	}
 	for key, held := range r.objects {
 		if listed[key] || held.Deleted {
@@ -97,16 +97,16 @@
 	r.publish(r.absorb(changes), revision)
 }
 
-func deletion(key objectKey, version uint64) platform.Change {
-	return platform.Change{
-		Object:  platform.Object{Kind: key.kind, Name: key.name, Version: version},
+func deletion(key objectKey, version uint64) store.Change {
+	return store.Change{
+		Object:  store.Object{Kind: key.kind, Name: key.name, Version: version},
 		Deleted: true,
 	}
 }
 
 // absorb stores the changes that are newer than what is held, and returns them.
-func (r *Replica) absorb(changes []platform.Change) []platform.Change {
-	var fresh []platform.Change
+func (r *Replica) absorb(changes []store.Change) []store.Change {
+	var fresh []store.Change
 	for _, c := range changes {
 		key := objectKey{c.Kind, c.Name}
 		held, known := r.objects[key]
@@ -135,7 +135,7 @@
 }
 
 // publish makes the changes visible to the subscribers and the followers.
-func (r *Replica) publish(fresh []platform.Change, revision uint64) {
+func (r *Replica) publish(fresh []store.Change, revision uint64) {
 	held := r.view.Load()
 	if len(fresh) == 0 && revision <= held.Revision {
 		return
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -12,12 +12,12 @@
 
 	"github.com/citronvane/citronvane/internal/cluster"
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 func quiet() *log.Logger { return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}} }
 
-func node(name, zone string, version uint64) platform.Change {
+func node(name, zone string, version uint64) store.Change {
 	value, err := json.Marshal(cluster.Node{
 		ID:        cluster.NodeID{Name: name, Incarnation: version},
 		State:     cluster.Live,
@@ -27,17 +27,17 @@
 	if err != nil {
 		panic(err)
 	}
-	return platform.Change{Object: platform.Object{Kind: cluster.KindNode, Name: name, Version: version, Value: value}}
+	return store.Change{Object: store.Object{Kind: cluster.KindNode, Name: name, Version: version, Value: value}}
 }
 
-func removal(name string, version uint64) platform.Change {
+func removal(name string, version uint64) store.Change {
 	return deletion(objectKey{cluster.KindNode, name}, version)
 }
 
 // Guards against a late, older change that brings a deleted node back.
 func TestDeletedObjectStaysDeleted(t *testing.T) {
 	r := New(quiet())
-	r.Apply(Batch{Changes: []platform.Change{node("a", "z", 1), removal("a", 3)}, Revision: 3})
+	r.Apply(Batch{Changes: []store.Change{node("a", "z", 1), removal("a", 3)}, Revision: 3})
 	r.Feed(node("a", "z", 2))
 	require.Empty(t, r.View().Nodes)
 	r.Feed(node("a", "z", 4))
@@ -47,7 +47,7 @@
 // Guards against a gap: a notification must not make the replica skip the changes before it.
 func TestFeedDoesNotRaiseTheRevision(t *testing.T) {
 	r := New(quiet())
-	r.Apply(Batch{Changes: []platform.Change{node("a", "z", 1)}, Revision: 1})
+	r.Apply(Batch{Changes: []store.Change{node("a", "z", 1)}, Revision: 1})
 	r.Feed(node("c", "z", 5))
 	require.Equal(t, uint64(1), r.Revision())
 	require.Contains(t, r.View().Nodes, "c")
@@ -56,9 +56,9 @@
 // Guards against a relist that drops what the node wrote after the list was taken, or keeps what was deleted.
 func TestReplaceKeepsNewerObjects(t *testing.T) {
 	r := New(quiet())
-	r.Apply(Batch{Changes: []platform.Change{node("old", "z", 1)}, Revision: 1})
+	r.Apply(Batch{Changes: []store.Change{node("old", "z", 1)}, Revision: 1})
 	r.Feed(node("own", "z", 9))
-	r.Replace([]platform.Object{node("b", "z", 4).Object}, 5)
+	r.Replace([]store.Object{node("b", "z", 4).Object}, 5)
 	require.NotContains(t, r.View().Nodes, "old")
 	require.Contains(t, r.View().Nodes, "own")
 	require.Contains(t, r.View().Nodes, "b")
@@ -72,7 +72,7 @@
 	slow, err := r.Subscribe(0)
 	require.NoError(t, err)
 	for i := range feedBatches + 1 {
-		r.Apply(Batch{Changes: []platform.Change{node("a", "z", uint64(i+1))}, Revision: uint64(i + 1)})
+		r.Apply(Batch{Changes: []store.Change{node("a", "z", uint64(i+1))}, Revision: uint64(i + 1)})
 	}
 	require.Len(t, slow.Batches(), feedBatches)
 	<-slow.Cut()
@@ -86,7 +86,7 @@
 	version := uint64(0)
 	for i := range maxTombstones + 1 {
 		name := fmt.Sprint("n", i)
-		r.Apply(Batch{Changes: []platform.Change{node(name, "z", version+1), removal(name, version+2)}, Revision: version + 2})
+		r.Apply(Batch{Changes: []store.Change{node(name, "z", version+1), removal(name, version+2)}, Revision: version + 2})
 		version += 2
 	}
 	require.LessOrEqual(t, len(r.objects), maxTombstones)
@@ -100,8 +100,8 @@
 // changes come in, a version never falls, and after a full list the replica equals the store.
 func TestReplicaConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var history []platform.Change
-		newest := map[string]platform.Change{}
+		var history []store.Change
+		newest := map[string]store.Change{}
 		for v := range uint64(rapid.IntRange(1, 30).Draw(t, "writes")) {
 			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
 			c := node(name, "z", v+1)
@@ -125,7 +125,7 @@
 				}
 			}
 		}
-		var objects []platform.Object
+		var objects []store.Object
 		for _, c := range newest {
 			if !c.Deleted {
 				objects = append(objects, c.Object)
--- a/internal/platform/http_test.go
+++ b/internal/store/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"bytes"
@@ -13,16 +13,16 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
-	"github.com/citronvane/citronvane/internal/platform/standin"
+	"github.com/citronvane/citronvane/internal/store"
+	"github.com/citronvane/citronvane/internal/store/standin"
 )
 
-func newStore(t *testing.T, o platform.HTTPOptions) *platform.HTTPStore {
+func newStore(t *testing.T, o store.HTTPOptions) *store.HTTPStore {
 	t.Helper()
-	store, err := platform.NewHTTPStore(o)
+	client, err := store.NewHTTPStore(o)
 	require.NoError(t, err)
-	t.Cleanup(store.Close)
-	return store
+	t.Cleanup(client.Close)
+	return client
 }
 
 func serve(t *testing.T, h http.Handler) string {
@@ -40,7 +40,7 @@
 	url := "http://" + listener.Addr().String()
 	require.NoError(t, listener.Close())
 
-	_, err = newStore(t, platform.HTTPOptions{URL: url}).Put(t.Context(), "node", "a", []byte("{}"), 0)
+	_, err = newStore(t, store.HTTPOptions{URL: url}).Put(t.Context(), "node", "a", []byte("{}"), 0)
 	require.Equal(t, errs.Unavailable, errs.KindOf(err), "%v", err)
 }
 
@@ -63,11 +63,11 @@
 		}
 	}))
 	defer close(release)
-	store := newStore(t, platform.HTTPOptions{URL: url, CallTimeout: 200 * time.Millisecond})
+	client := newStore(t, store.HTTPOptions{URL: url, CallTimeout: 200 * time.Millisecond})
 	for _, name := range []string{"lost", "late", "bad-gateway", "no-version"} {
-		_, _, err := store.List(t.Context()) // leaves an idle connection for the write to reuse
+		_, _, err := client.List(t.Context()) // leaves an idle connection for the write to reuse
 		require.NoError(t, err)
-		_, err = store.Put(t.Context(), "node", name, []byte("{}"), 0)
+		_, err = client.Put(t.Context(), "node", name, []byte("{}"), 0)
 		require.Equal(t, errs.OutcomeUnknown, errs.KindOf(err), "%s: %v", name, err)
 	}
 }
@@ -75,11 +75,11 @@
 // Guards against error statuses being mixed up between the platform and its client.
 func TestStatusesKeepTheirKinds(t *testing.T) {
 	p := standin.New(1)
-	store := newStore(t, platform.HTTPOptions{URL: serve(t, standin.Handler(p))})
+	client := newStore(t, store.HTTPOptions{URL: serve(t, standin.Handler(p))})
 	ctx := t.Context()
-	version, err := store.Put(ctx, "slices", "booking/0", []byte("{}"), 0)
+	version, err := client.Put(ctx, "slices", "booking/0", []byte("{}"), 0)
 	require.NoError(t, err)
-	_, err = store.Put(ctx, "slices", "booking/1", []byte("{}"), 0)
+	_, err = client.Put(ctx, "slices", "booking/1", []byte("{}"), 0)
 	require.NoError(t, err)
 
 	expectKind := func(kind errs.Kind, err error) {
@@ -87,29 +87,29 @@
 		require.Equal(t, kind, errs.KindOf(err), "%v", err)
 		require.NotEmpty(t, errs.Remedy(err))
 	}
-	_, err = store.Get(ctx, "slices", "booking/9")
+	_, err = client.Get(ctx, "slices", "booking/9")
 	expectKind(errs.NotFound, err)
-	_, err = store.Put(ctx, "slices", "booking/0", []byte("{}"), 0)
+	_, err = client.Put(ctx, "slices", "booking/0", []byte("{}"), 0)
 	expectKind(errs.Conflict, err)
-	expectKind(errs.Conflict, store.Delete(ctx, "slices", "booking/0", version+7))
-	_, _, err = store.Watch(ctx, 0, 0)
+	expectKind(errs.Conflict, client.Delete(ctx, "slices", "booking/0", version+7))
+	_, _, err = client.Watch(ctx, 0, 0)
 	expectKind(errs.Compacted, err)
-	_, err = store.Put(ctx, "slices", "booking/2", make([]byte, platform.MaxValueBytes+1), 0)
+	_, err = client.Put(ctx, "slices", "booking/2", make([]byte, store.MaxValueBytes+1), 0)
 	expectKind(errs.TooLarge, err)
-	_, err = store.Put(ctx, "slices", "../config", nil, 0)
+	_, err = client.Put(ctx, "slices", "../config", nil, 0)
 	expectKind(errs.Invalid, err)
 	p.SetFaults(standin.Faults{WritesPerSecond: 0.001})
-	_, err = store.Put(ctx, "slices", "booking/3", nil, 0)
+	_, err = client.Put(ctx, "slices", "booking/3", nil, 0)
 	require.NoError(t, err, "the burst allows one write")
-	_, err = store.Put(ctx, "slices", "booking/4", nil, 0)
+	_, err = client.Put(ctx, "slices", "booking/4", nil, 0)
 	expectKind(errs.RateLimited, err)
 	p.SetFaults(standin.Faults{Down: true})
-	_, err = store.Put(ctx, "slices", "booking/4", nil, 0)
+	_, err = client.Put(ctx, "slices", "booking/4", nil, 0)
 	expectKind(errs.Unavailable, err)
 	p.SetFaults(standin.Faults{})
-	object, err := store.Get(ctx, "slices", "booking/0")
+	object, err := client.Get(ctx, "slices", "booking/0")
 	require.NoError(t, err)
-	require.Equal(t, platform.Object{Kind: "slices", Name: "booking/0", Version: version, Value: []byte("{}")}, object)
+	require.Equal(t, store.Object{Kind: "slices", Name: "booking/0", Version: version, Value: []byte("{}")}, object)
 }
 
 // Guards against an answer of any size being read into memory.
@@ -117,9 +117,9 @@
 	url := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("ETag", `"1"`)
 		w.(http.Flusher).Flush() // chunked, so that no length is announced
-		_, _ = w.Write(bytes.Repeat([]byte("x"), platform.MaxValueBytes+1))
+		_, _ = w.Write(bytes.Repeat([]byte("x"), store.MaxValueBytes+1))
 	}))
-	_, err := newStore(t, platform.HTTPOptions{URL: url}).Get(t.Context(), "node", "a")
+	_, err := newStore(t, store.HTTPOptions{URL: url}).Get(t.Context(), "node", "a")
 	require.Equal(t, errs.TooLarge, errs.KindOf(err), "%v", err)
 }
 
@@ -127,18 +127,18 @@
 // being used for both reads and writes.
 func TestClientKeepsItsShare(t *testing.T) {
 	p := standin.New(0)
-	store := newStore(t, platform.HTTPOptions{
+	client := newStore(t, store.HTTPOptions{
 		URL: serve(t, standin.Handler(p)), ReadsPerSecond: 0.001, WritesPerSecond: 1000, Burst: 2,
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	for range 2 {
-		_, _, err := store.List(ctx)
+		_, _, err := client.List(ctx)
 		require.NoError(t, err)
 	}
-	_, _, err := store.Watch(ctx, 0, 0)
+	_, _, err := client.Watch(ctx, 0, 0)
 	require.Equal(t, errs.RateLimited, errs.KindOf(err), "%v", err)
-	_, err = store.Put(ctx, "node", "a", nil, 0)
+	_, err = client.Put(ctx, "node", "a", nil, 0)
 	require.NoError(t, err)
 	require.Equal(t, uint64(2), p.Stats().Reads)
 	require.Zero(t, p.Stats().Watches)
@@ -148,7 +148,7 @@
 func TestBackOffIsFullJitter(t *testing.T) {
 	var low, high time.Duration
 	for range 200 {
-		b := platform.NewBackOff(100*time.Millisecond, time.Second)
+		b := store.NewBackOff(100*time.Millisecond, time.Second)
 		ceiling := 100 * time.Millisecond
 		for range 8 {
 			d := b.NextBackOff()
--- a/internal/platform/metrics.go
+++ b/internal/store/metrics.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/internal/platform/metrics_test.go
+++ b/internal/store/metrics_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"testing"
@@ -8,8 +8,8 @@
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 
-	"github.com/citronvane/citronvane/internal/platform"
-	"github.com/citronvane/citronvane/internal/platform/standin"
+	"github.com/citronvane/citronvane/internal/store"
+	"github.com/citronvane/citronvane/internal/store/standin"
 )
 
 // Guards against calls that do not show in the metrics by which a client's share of the limits is watched.
@@ -17,11 +17,11 @@
 	reader := sdkmetric.NewManualReader()
 	otel.SetMeterProvider(sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader)))
 	p := standin.New(0)
-	store := newStore(t, platform.HTTPOptions{URL: serve(t, standin.Handler(p))})
-	_, _ = store.Get(t.Context(), "node", "a")
-	_, _ = store.Put(t.Context(), "node", "a", nil, 0)
-	_, _ = store.Put(t.Context(), "node", "a", nil, 0)
-	_, _, _ = store.Watch(t.Context(), 0, 0)
+	client := newStore(t, store.HTTPOptions{URL: serve(t, standin.Handler(p))})
+	_, _ = client.Get(t.Context(), "node", "a")
+	_, _ = client.Put(t.Context(), "node", "a", nil, 0)
+	_, _ = client.Put(t.Context(), "node", "a", nil, 0)
+	_, _, _ = client.Watch(t.Context(), 0, 0)
 
 	var collected metricdata.ResourceMetrics
 	require.NoError(t, reader.Collect(t.Context(), &collected))
--- a/internal/platform/settle_test.go
+++ b/internal/store/settle_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -8,21 +8,21 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
-	"github.com/citronvane/citronvane/internal/platform/standin"
+	"github.com/citronvane/citronvane/internal/store"
+	"github.com/citronvane/citronvane/internal/store/standin"
 )
 
 // Guards against a write whose answer was lost being applied twice or reported as failed.
 func TestLostAnswerIsSettledAsApplied(t *testing.T) {
 	p := standin.New(0)
-	store := newStore(t, platform.HTTPOptions{URL: serve(t, standin.Handler(p))})
+	client := newStore(t, store.HTTPOptions{URL: serve(t, standin.Handler(p))})
 	p.SetFaults(standin.Faults{LoseAnswers: true})
 
-	version, err := platform.PutSettled(t.Context(), store, "node", "a", []byte("1"), 0)
+	version, err := store.PutSettled(t.Context(), client, "node", "a", []byte("1"), 0)
 	require.NoError(t, err)
 	require.Equal(t, uint64(1), version)
 	require.Equal(t, uint64(1), p.Stats().Revision, "the write must take effect once")
-	require.NoError(t, platform.DeleteSettled(t.Context(), store, "node", "a", version))
+	require.NoError(t, store.DeleteSettled(t.Context(), client, "node", "a", version))
 	require.Equal(t, uint64(2), p.Stats().Revision)
 }
 
@@ -34,7 +34,7 @@
 		require.NoError(t, err)
 	}}
 	p.SetFaults(standin.Faults{LoseNext: 1})
-	_, err := platform.PutSettled(t.Context(), s, "node", "a", []byte("mine"), 0)
+	_, err := store.PutSettled(t.Context(), s, "node", "a", []byte("mine"), 0)
 	require.Equal(t, errs.Conflict, errs.KindOf(err), "%v", err)
 }
 
@@ -64,12 +64,12 @@
 	require.Equal(t, errs.OutcomeUnknown, errs.KindOf(err), "%v", err)
 
 	p.SetFaults(standin.Faults{})
-	w := platform.Write{Kind: "node", Name: "a", Value: []byte("1")}
-	settled, err := platform.Settle(t.Context(), p, w)
+	w := store.Write{Kind: "node", Name: "a", Value: []byte("1")}
+	settled, err := store.Settle(t.Context(), p, w)
 	require.NoError(t, err)
-	require.Equal(t, platform.Pending, settled.Settlement)
+	require.Equal(t, store.Pending, settled.Settlement)
 	require.Eventually(t, func() bool {
-		settled, err := platform.Settle(t.Context(), p, w)
-		return err == nil && settled.Settlement == platform.Applied && settled.Current.Version == 1
+		settled, err := store.Settle(t.Context(), p, w)
+		return err == nil && settled.Settlement == store.Applied && settled.Current.Version == 1
 	}, 2*time.Second, 10*time.Millisecond)
 }
--- a/internal/platform/standin/handler.go
+++ b/internal/store/standin/handler.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 // maxAdminBytes bounds the bodies of admin requests.
@@ -42,7 +42,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set("ETag", platform.FormatETag(object.Version))
+	w.Header().Set("ETag", store.FormatETag(object.Version))
 	w.Header().Set("Content-Length", strconv.Itoa(len(object.Value)))
 	_, _ = w.Write(object.Value) // A client that is gone needs no answer.
 }
@@ -53,7 +53,7 @@
 		writeError(w, err)
 		return
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxValueBytes))
 	if err != nil {
 		writeError(w, bodyError(err))
 		return
@@ -65,7 +65,7 @@
 		writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", platform.FormatETag(version))
+	w.Header().Set("ETag", store.FormatETag(version))
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -89,7 +89,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.ListAnswer{Revision: revision, Objects: objects})
+	writeJSON(w, http.StatusOK, store.ListAnswer{Revision: revision, Objects: objects})
 }
 
 func (h *handler) watch(w http.ResponseWriter, r *http.Request) {
@@ -108,7 +108,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.WatchAnswer{Revision: revision, Changes: changes})
+	writeJSON(w, http.StatusOK, store.WatchAnswer{Revision: revision, Changes: changes})
 }
 
 // expectation reads the version that a conditional write expects.
@@ -118,7 +118,7 @@
 	case match == "" && noneMatch == "*":
 		return 0, nil
 	case match != "" && noneMatch == "":
-		version, err := platform.ParseETag(match)
+		version, err := store.ParseETag(match)
 		return version, errs.Wrap(err, errs.Invalid, "Send the ETag that was read.", "parse If-Match")
 	default:
 		return 0, errs.New(errs.Invalid, `Send If-Match: "<version>" or If-None-Match: *.`, "the write is not conditional")
@@ -139,7 +139,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	kind := errs.KindOf(err)
-	writeJSON(w, platform.StatusOf(kind), platform.ErrorAnswer{Kind: kind, Detail: err.Error(), Remedy: errs.Remedy(err)})
+	writeJSON(w, store.StatusOf(kind), store.ErrorAnswer{Kind: kind, Detail: err.Error(), Remedy: errs.Remedy(err)})
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
--- a/internal/platform/standin/platform.go
+++ b/internal/store/standin/platform.go
@@ -8,7 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 const (
@@ -48,7 +48,7 @@
 	Revision    uint64 `json:"revision"`
 }
 
-// Platform is the in-memory platform. It is a platform.Store by itself; Handler serves it over HTTP.
+// Platform is the in-memory platform. It is a store.Store by itself; Handler serves it over HTTP.
 type Platform struct {
 	mu     sync.Mutex
 	state  *state
@@ -60,7 +60,7 @@
 	woken chan struct{}
 }
 
-var _ platform.Store = (*Platform)(nil)
+var _ store.Store = (*Platform)(nil)
 
 // New returns an empty platform that keeps logEntries changes for watches; 0 means the default.
 func New(logEntries int) *Platform {
@@ -124,12 +124,12 @@
 	p.woken = make(chan struct{})
 }
 
-// Get implements platform.Store.
-func (p *Platform) Get(ctx context.Context, kind, name string) (platform.Object, error) {
-	if err := platform.CheckName(kind, name); err != nil {
-		return platform.Object{}, err
+// Get implements store.Store.
+func (p *Platform) Get(ctx context.Context, kind, name string) (store.Object, error) {
+	if err := store.CheckName(kind, name); err != nil {
+		return store.Object{}, err
 	}
-	var object platform.Object
+	var object store.Object
 	err := p.read(ctx, &p.stats.Reads, func() (err error) {
 		object, err = p.state.get(objectID{kind, name})
 		return err
@@ -137,14 +137,14 @@
 	return object, err
 }
 
-// List implements platform.Store.
-func (p *Platform) List(ctx context.Context) ([]platform.Object, uint64, error) {
+// List implements store.Store.
+func (p *Platform) List(ctx context.Context) ([]store.Object, uint64, error) {
 	return p.ListKind(ctx, "")
 }
 
 // ListKind returns the objects of one kind, or of all kinds if kind is empty.
-func (p *Platform) ListKind(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
-	var objects []platform.Object
+func (p *Platform) ListKind(ctx context.Context, kind string) ([]store.Object, uint64, error) {
+	var objects []store.Object
 	var revision uint64
 	err := p.read(ctx, &p.stats.Reads, func() error {
 		objects, revision = p.state.list(kind), p.state.revision
@@ -153,28 +153,28 @@
 	return objects, revision, err
 }
 
-// Put implements platform.Store.
+// Put implements store.Store.
 func (p *Platform) Put(ctx context.Context, kind, name string, value []byte, expect uint64) (uint64, error) {
-	if err := platform.CheckName(kind, name); err != nil {
+	if err := store.CheckName(kind, name); err != nil {
 		return 0, err
 	}
-	if err := platform.CheckValue(kind, name, value); err != nil {
+	if err := store.CheckValue(kind, name, value); err != nil {
 		return 0, err
 	}
 	return p.write(ctx, func() (uint64, error) { return p.state.put(objectID{kind, name}, value, expect) })
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (p *Platform) Delete(ctx context.Context, kind, name string, expect uint64) error {
-	if err := platform.CheckDelete(kind, name, expect); err != nil {
+	if err := store.CheckDelete(kind, name, expect); err != nil {
 		return err
 	}
 	_, err := p.write(ctx, func() (uint64, error) { return 0, p.state.remove(objectID{kind, name}, expect) })
 	return err
 }
 
-// Watch implements platform.Store.
-func (p *Platform) Watch(ctx context.Context, since uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+// Watch implements store.Store.
+func (p *Platform) Watch(ctx context.Context, since uint64, wait time.Duration) ([]store.Change, uint64, error) {
 	slow, err := p.admit(&p.stats.Watches)
 	if err != nil {
 		return nil, 0, err
@@ -203,7 +203,7 @@
 }
 
 // poll returns the changes after since, and the channel that is closed at the next change.
-func (p *Platform) poll(since uint64) ([]platform.Change, uint64, <-chan struct{}, error) {
+func (p *Platform) poll(since uint64) ([]store.Change, uint64, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.faults.Down {
--- a/internal/platform/standin/platform_test.go
+++ b/internal/store/standin/platform_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 // Guards against two winners of one conditional update, and against a race without a winner.
@@ -45,10 +45,10 @@
 // follower keeps a copy of the objects from watches alone.
 type follower struct {
 	revision uint64
-	copied   map[string]platform.Object
+	copied   map[string]store.Object
 }
 
-func (f *follower) follow(ctx context.Context, s platform.Store) error {
+func (f *follower) follow(ctx context.Context, s store.Store) error {
 	changes, revision, err := s.Watch(ctx, f.revision, 0)
 	if err != nil {
 		return err
@@ -75,7 +75,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		ctx := context.Background()
 		p := New(rapid.IntRange(1, 20).Draw(rt, "log"))
-		f := &follower{copied: map[string]platform.Object{}}
+		f := &follower{copied: map[string]store.Object{}}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "name")
 			current, err := p.Get(ctx, "node", name)
@@ -96,7 +96,7 @@
 func (f *follower) catchUp(rt *rapid.T, ctx context.Context, p *Platform) {
 	objects, revision, err := p.List(ctx)
 	require.NoError(rt, err)
-	listed := map[string]platform.Object{}
+	listed := map[string]store.Object{}
 	for _, o := range objects {
 		listed[o.Name] = o
 	}
@@ -119,7 +119,7 @@
 		_, err := p.Put(t.Context(), "node", fmt.Sprint("n", i), nil, 0)
 		require.NoError(t, err)
 	}
-	f := &follower{copied: map[string]platform.Object{}}
+	f := &follower{copied: map[string]store.Object{}}
 	for range 3 {
 		require.NoError(t, f.follow(t.Context(), p))
 	}
--- a/internal/platform/standin/state.go
+++ b/internal/store/standin/state.go
@@ -6,7 +6,7 @@
 	"sort"
 
 	"github.com/citronvane/citronvane/internal/errs"
-	"github.com/citronvane/citronvane/internal/platform"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 // maxChangesPerWatch bounds one answer to a watch; the rest follows in the next.
@@ -47,16 +47,16 @@
 	return &state{records: map[objectID]record{}, maxLog: maxLog}
 }
 
-func (s *state) get(id objectID) (platform.Object, error) {
+func (s *state) get(id objectID) (store.Object, error) {
 	r, found := s.records[id]
 	if !found || r.deleted {
-		return platform.Object{}, errs.New(errs.NotFound, "Check the kind and the name.", "object %s/%s does not exist", id.kind, id.name)
+		return store.Object{}, errs.New(errs.NotFound, "Check the kind and the name.", "object %s/%s does not exist", id.kind, id.name)
 	}
 	return r.object(id), nil
 }
 
-func (s *state) list(kind string) []platform.Object {
-	objects := []platform.Object{}
+func (s *state) list(kind string) []store.Object {
+	objects := []store.Object{}
 	for id, r := range s.records {
 		if !r.deleted && (kind == "" || id.kind == kind) {
 			objects = append(objects, r.object(id))
@@ -117,13 +117,13 @@
 
 // changes returns the newest state of the objects that changed after since, and the revision up to
 // which the answer is complete. A revision that was never given out is answered like one that is too old.
-func (s *state) changes(since uint64) ([]platform.Change, uint64, error) {
+func (s *state) changes(since uint64) ([]store.Change, uint64, error) {
 	if since < s.compacted || since > s.revision {
 		return nil, 0, errs.New(errs.Compacted, "List all objects and continue from the revision of the list.",
 			"revision %d is outside the change log, which continues from %d to %d", since, s.compacted, s.revision)
 	}
 	first := sort.Search(len(s.log), func(i int) bool { return s.log[i].revision > since })
-	changes := []platform.Change{}
+	changes := []store.Change{}
 	size, upTo := 0, since
 	for _, e := range s.log[first:] {
 		r := s.records[e.id]
@@ -133,13 +133,13 @@
 			if len(changes) == maxChangesPerWatch || len(changes) > 0 && size > maxBytesPerWatch {
 				break
 			}
-			changes = append(changes, platform.Change{Object: r.object(e.id), Deleted: r.deleted})
+			changes = append(changes, store.Change{Object: r.object(e.id), Deleted: r.deleted})
 		}
 		upTo = e.revision
 	}
 	return changes, upTo, nil
 }
 
-func (r record) object(id objectID) platform.Object {
-	return platform.Object{Kind: id.kind, Name: id.name, Version: r.version, Value: append([]byte(nil), r.value...)}
+func (r record) object(id objectID) store.Object {
+	return store.Object{Kind: id.kind, Name: id.name, Version: r.version, Value: append([]byte(nil), r.value...)}
 }
--- a/internal/platform/store.go
+++ b/internal/store/store.go
@@ -1,6 +1,6 @@
-// Package platform is the client side of the platform's object API. Store is
+// Package store is the client side of the platform's object API. Store is
 // the interface that the rest of the system uses; HTTPStore is its adapter.
-package platform
+package store
 
 import (
 	"context"
