--- a/cmd/citronvane-node/main.go
+++ b/cmd/citronvane-node/main.go
@@ -14,6 +14,8 @@
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/node"
 	"github.com/citronvane/citronvane/internal/settings"
+	"github.com/citronvane/citronvane/internal/sidecar"
+	"github.com/citronvane/citronvane/platform"
 )
 
 // Exit codes.
@@ -30,7 +32,12 @@
 	runFile := run.Flag("settings", "Settings file (YAML).").Required().String()
 	check := app.Command("check", "Checks a settings file.")
 	checkFile := check.Flag("settings", "Settings file (YAML).").Required().String()
+	beside := app.Command("sidecar", "Runs the node beside one target on the users' platform. See docs/platform.md.")
+	besideFile := beside.Flag("settings", "Settings file (YAML, from deploy/node.yaml); the platform names it by itself.").String()
+	besideCheck := beside.Flag("check", "Only checks the settings file.").Bool()
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case beside.FullCommand():
+		serveBeside(*besideFile, *besideCheck)
 	case check.FullCommand():
 		read(*checkFile)
 		fmt.Printf("%s: settings are valid\n", *checkFile)
@@ -48,6 +55,33 @@
 	return s
 }
 
+// serveBeside runs the node on the users' platform.
+func serveBeside(file string, check bool) {
+	if file == "" {
+		path, err := platform.SettingsPath()
+		if err != nil {
+			exit(exitInvalid, err)
+		}
+		file = path
+	}
+	s, err := settings.ReadSidecarFile(file)
+	if err == nil {
+		_, err = platform.ReadBounds(s.Bounds)
+	}
+	if err != nil {
+		exit(exitInvalid, err)
+	}
+	if check {
+		fmt.Printf("%s: settings are valid\n", file)
+		return
+	}
+	ctx, restore := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer restore()
+	if err := sidecar.Run(ctx, s); err != nil {
+		exit(exitFailure, err)
+	}
+}
+
 func serve(s *settings.Settings) {
 	ctx, restore := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer restore()
--- /dev/null
+++ b/internal/dispatch/core.go
@@ -0,0 +1,319 @@
+// Package dispatch decides when a request may run at the host's own target. The node is the only path to the target, so
+// it knows exactly what runs there: a request is admitted if its answer is expected in time, waits by priority, and is
+// otherwise refused at once with a time to come back. Core performs no I/O and takes the time as an argument;
+// Controller makes it usable from many goroutines.
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/clock"
+)
+
+const (
+	// timeWeight is the weight of one answer in the mean service time: about the last 25 answers count.
+	timeWeight = 0.04
+	// startWeight is the weight of one start in the shares of the classes: about the last 50 starts count.
+	startWeight = 0.02
+	// maxOvertaken bounds the share of the slots that a class is expected to lose to more urgent ones.
+	maxOvertaken = 0.9
+	// usualShare is the service time that is assumed before the first answer, as a share of the latency objective.
+	usualShare = 0.3
+	// coldHeadroom is how far above its stated rate a cold target is used. The platform's rules bear 1.5.
+	coldHeadroom = 1.2
+	// coldBurst is how many requests a cold target may get at once.
+	coldBurst = 3
+	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may come back.
+	minRetryAfter = 40 * time.Millisecond
+	maxRetryAfter = time.Second
+	// classes is the number of priorities that are told apart; higher numbers share the last one.
+	classes = 8
+	// spread is the part of the service time that is added to it, because half of the answers take longer than the mean.
+	spread = 0.25
+	// lateShare is the part of its deadline that a request which has missed its objective may wait for.
+	lateShare = 0.6
+)
+
+// Request is a request that asks to run.
+type Request struct {
+	Route string
+	// Priority is the rank; 0 is the highest.
+	Priority int
+	// Objective is the latency objective of the route.
+	Objective time.Duration
+	// Aim is when the answer is due to meet the objective.
+	Aim clock.Instant
+	// Deadline is when nobody waits for the answer any more.
+	Deadline clock.Instant
+}
+
+// Ticket is a request that waits or runs.
+type Ticket struct {
+	Request
+	arrived clock.Instant
+	// decided is closed by the controller when refusal and Started are final.
+	decided chan struct{}
+	started clock.Instant
+	running bool
+	refused *Refusal
+}
+
+// Refusal says why a request does not run, and when the caller may come back.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+	// Expected is when the answer would have been there, counted from the arrival.
+	Expected time.Duration
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons.
+const (
+	Overload Reason = "overload"
+	Cold     Reason = "cold"
+	Late     Reason = "late"
+)
+
+// Core is the state machine. It is not safe for concurrent use.
+type Core struct {
+	slots   int
+	running int
+	queue   [classes][]*Ticket
+	waiting int
+	times   map[string]float64
+	mean    float64
+	// overtaken is, by class, the share of the latest starts that went to more urgent classes: a waiting request
+	// gets only the rest of the slots.
+	overtaken [classes]float64
+
+	coldUntil clock.Instant
+	coldRate  float64
+	tokens    float64
+	refilled  clock.Instant
+}
+
+// NewCore returns the state for a target with so many slots.
+func NewCore(slots int) *Core {
+	return &Core{slots: max(1, slots), times: map[string]float64{}}
+}
+
+// SetSlots changes the number of slots.
+func (c *Core) SetSlots(slots int) { c.slots = max(1, slots) }
+
+// SetCold says until when the target is cold and how many requests a second it bears.
+func (c *Core) SetCold(now, until clock.Instant, perSecond float64) {
+	if now >= c.coldUntil && until > now {
+		c.tokens, c.refilled = coldBurst, now
+	}
+	c.coldUntil, c.coldRate = until, perSecond*coldHeadroom
+}
+
+// Reset forgets what runs, because the target has ended.
+func (c *Core) Reset() { c.running = 0 }
+
+func class(priority int) int { return min(max(priority, 0), classes-1) }
+
+// service returns the expected service time of a request in seconds.
+func (c *Core) service(r *Request) float64 {
+	if t, ok := c.times[r.Route]; ok {
+		return t
+	}
+	return usualShare * r.Objective.Seconds()
+}
+
+// Arrive admits or refuses a request. An admitted one starts in this or a later Poll.
+func (c *Core) Arrive(now clock.Instant, r Request) (*Ticket, *Refusal) {
+	own := c.service(&r)
+	wait, reason := c.expectedWait(now, &r, own)
+	finish := now.Add(seconds(wait + own))
+	if after := finish.Add(seconds(spread * own)).Sub(r.Aim); after > 0 && (wait > 0 || finish > r.Deadline) {
+		return nil, &Refusal{Reason: reason, RetryAfter: min(max(after, minRetryAfter), maxRetryAfter), Expected: finish.Sub(now)}
+	}
+	t := &Ticket{Request: r, arrived: now, decided: make(chan struct{})}
+	k := class(r.Priority)
+	c.queue[k] = append(c.queue[k], t)
+	c.waiting++
+	return t, nil
+}
+
+// expectedWait returns the time in seconds until the request would start.
+func (c *Core) expectedWait(now clock.Instant, r *Request, own float64) (float64, Reason) {
+	ahead := 0
+	for k := 0; k <= class(r.Priority); k++ {
+		ahead += len(c.queue[k])
+	}
+	wait, reason := 0.0, Overload
+	if short := ahead + 1 + c.running - c.slots; short > 0 {
+		mean := c.mean
+		if mean == 0 {
+			mean = own
+		}
+		wait = float64(short) * mean / (float64(c.slots) * (1 - min(c.overtaken[class(r.Priority)], maxOvertaken)))
+	}
+	if now < c.coldUntil && c.coldRate > 0 {
+		c.refill(now)
+		if paced := (float64(ahead) + 1 - c.tokens) / c.coldRate; paced > wait {
+			wait, reason = paced, Cold
+		}
+	}
+	return wait, reason
+}
+
+func (c *Core) refill(now clock.Instant) {
+	c.tokens = min(coldBurst, c.tokens+c.coldRate*now.Sub(c.refilled).Seconds())
+	c.refilled = now
+}
+
+// Poll starts what may run and refuses what can't meet its deadline any more. It returns the tickets that it decided.
+func (c *Core) Poll(now clock.Instant) []*Ticket {
+	var decided []*Ticket
+	for c.waiting > 0 {
+		if refused := c.dropLate(now); refused != nil {
+			decided = append(decided, refused)
+			continue
+		}
+		if c.running >= c.slots || !c.coldAllows(now) {
+			break
+		}
+		t := c.next(now)
+		if t == nil {
+			break
+		}
+		t.started, t.running = now, true
+		c.running++
+		c.count(class(t.Priority))
+		if now < c.coldUntil {
+			c.tokens--
+		}
+		decided = append(decided, t)
+	}
+	return decided
+}
+
+// count records to which class a start went.
+func (c *Core) count(started int) {
+	for k := range c.overtaken {
+		sample := 0.0
+		if started < k {
+			sample = 1
+		}
+		c.overtaken[k] += startWeight * (sample - c.overtaken[k])
+	}
+}
+
+func (c *Core) coldAllows(now clock.Instant) bool {
+	if now >= c.coldUntil || c.coldRate <= 0 {
+		return true
+	}
+	c.refill(now)
+	return c.tokens >= 1
+}
+
+// Wake returns after which time Poll has something to do although nothing arrives or ends, or 0.
+func (c *Core) Wake(now clock.Instant) time.Duration {
+	if c.waiting == 0 || c.running >= c.slots || c.coldAllows(now) {
+		return 0
+	}
+	return max(time.Millisecond, seconds((1-c.tokens)/c.coldRate))
+}
+
+// dropLate removes a request at the head of a class that can't be answered within lateShare of its deadline.
+func (c *Core) dropLate(now clock.Instant) *Ticket {
+	for k := range c.queue {
+		for i, t := range c.queue[k] {
+			if now.Add(seconds(c.service(&t.Request))) <= t.Aim {
+				break // Later ones of the class have later aims in all but a few cases, which wait for the next poll.
+			}
+			limit := t.arrived.Add(time.Duration(lateShare * float64(t.Deadline.Sub(t.arrived))))
+			if now > limit || now.Add(seconds(c.service(&t.Request))) > t.Deadline {
+				c.remove(k, i)
+				t.refused = &Refusal{Reason: Late, RetryAfter: minRetryAfter, Expected: now.Sub(t.arrived)}
+				return t
+			}
+		}
+	}
+	return nil
+}
+
+// next removes the request to run: by class, those that still meet their objective first.
+func (c *Core) next(now clock.Instant) *Ticket {
+	for _, inTime := range []bool{true, false} {
+		for k := range c.queue {
+			for i, t := range c.queue[k] {
+				if !inTime || now.Add(seconds(c.service(&t.Request))) <= t.Aim {
+					c.remove(k, i)
+					return t
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Core) remove(k, i int) {
+	c.queue[k] = append(c.queue[k][:i:i], c.queue[k][i+1:]...)
+	c.waiting--
+}
+
+// Cancel removes a waiting request. It returns false if the request does not wait any more.
+func (c *Core) Cancel(t *Ticket) bool {
+	k := class(t.Priority)
+	for i, other := range c.queue[k] {
+		if other == t {
+			c.remove(k, i)
+			return true
+		}
+	}
+	return false
+}
+
+// Done ends a running request. measured says that the time it ran is the service time of the target.
+func (c *Core) Done(now clock.Instant, t *Ticket, measured bool) {
+	c.running = max(0, c.running-1)
+	if !measured {
+		return
+	}
+	took := now.Sub(t.started).Seconds()
+	c.times[t.Route] = blend(c.times[t.Route], took)
+	c.mean = blend(c.mean, took)
+}
+
+func blend(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + timeWeight*(sample-old)
+}
+
+// Stats describes the state.
+type Stats struct {
+	Slots, Running, Waiting int
+	// Mean is the mean service time in seconds, 0 if unknown.
+	Mean float64
+}
+
+// Stats returns the current state.
+func (c *Core) Stats() Stats { return Stats{c.slots, c.running, c.waiting, c.mean} }
+
+// Times returns the mean service time of each route in seconds.
+func (c *Core) Times() map[string]float64 {
+	times := make(map[string]float64, len(c.times))
+	for route, t := range c.times {
+		times[route] = math.Round(t*1e4) / 1e4
+	}
+	return times
+}
+
+// Keep forgets the routes that are not in the set, so that the state does not grow with configurations.
+func (c *Core) Keep(routes map[string]bool) {
+	for route := range c.times {
+		if !routes[route] {
+			delete(c.times, route)
+		}
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,169 @@
+package dispatch
+
+import (
+	"container/heap"
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/clock"
+)
+
+func at(ms float64) clock.Instant {
+	return clock.Instant(100 * time.Second).Add(time.Duration(ms * float64(time.Millisecond)))
+}
+
+func request(route string, priority int, now clock.Instant, objective, deadline time.Duration) Request {
+	return Request{Route: route, Priority: priority, Objective: objective, Aim: now.Add(objective), Deadline: now.Add(deadline)}
+}
+
+func TestRefusesWhatCannotBeInTime(t *testing.T) {
+	c := NewCore(2)
+	admitted := 0
+	var refusal *Refusal
+	for refusal == nil {
+		_, refusal = c.Arrive(at(0), request("r", 1, at(0), 500*time.Millisecond, time.Second))
+		c.Poll(at(0))
+		if refusal == nil {
+			admitted++
+		}
+	}
+	// 0.15 s each on two slots: those that start within 0.35 s meet the objective.
+	require.InDelta(t, 2+4, admitted, 1)
+	require.Equal(t, Overload, refusal.Reason)
+	require.GreaterOrEqual(t, refusal.RetryAfter, minRetryAfter)
+}
+
+func TestUrgentRequestsStartFirst(t *testing.T) {
+	c := NewCore(1)
+	first, _ := c.Arrive(at(0), request("r", 2, at(0), time.Second, 2*time.Second))
+	c.Poll(at(0))
+	low, _ := c.Arrive(at(1), request("r", 2, at(1), time.Second, 2*time.Second))
+	high, _ := c.Arrive(at(2), request("r", 0, at(2), time.Second, 2*time.Second))
+	c.Done(at(100), first, true)
+	require.Equal(t, []*Ticket{high}, c.Poll(at(100)))
+	c.Done(at(200), high, true)
+	require.Equal(t, []*Ticket{low}, c.Poll(at(200)))
+}
+
+// Guards against more requests in a second than a cold target bears.
+func TestColdTargetIsPaced(t *testing.T) {
+	const perSecond = 28
+	c := NewCore(18)
+	c.SetCold(at(0), at(3000), perSecond)
+	var starts []float64
+	for ms := 0.0; ms < 3000; ms++ {
+		ticket, _ := c.Arrive(at(ms), request("r", 1, at(ms), 500*time.Millisecond, time.Second))
+		_ = ticket
+		for _, started := range c.Poll(at(ms)) {
+			if started.refused == nil {
+				starts = append(starts, ms)
+				c.Done(at(ms), started, false)
+			}
+		}
+	}
+	for i := range starts {
+		n := 0
+		for _, s := range starts[i:] {
+			if s < starts[i]+1000 {
+				n++
+			}
+		}
+		require.LessOrEqual(t, float64(n), perSecond*1.5+5)
+	}
+	require.Greater(t, len(starts), 3*perSecond)
+}
+
+func TestControllerCancelsAndReleases(t *testing.T) {
+	c := NewController(clock.Boot{}, 1)
+	now := clock.Boot{}.Now()
+	r := request("r", 1, now, 10*time.Second, 20*time.Second)
+	first, refusal, err := c.Acquire(t.Context(), r)
+	require.NoError(t, err)
+	require.Nil(t, refusal)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	_, _, err = c.Acquire(ctx, r)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		second, refusal, err := c.Acquire(t.Context(), r)
+		if err == nil && refusal == nil {
+			c.Release(second, true)
+		}
+	}()
+	c.Release(first, true)
+	<-done
+	stats, _ := c.Stats()
+	require.Equal(t, Stats{Slots: 1, Mean: stats.Mean}, stats)
+}
+
+// ends orders running tickets by the time at which they end.
+type ends []end
+
+type end struct {
+	at     float64
+	ticket *Ticket
+}
+
+func (e ends) Len() int           { return len(e) }
+func (e ends) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *ends) Push(x any)        { *e = append(*e, x.(end)) }
+func (e *ends) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// The load: twice what 18 slots bear, a third of it urgent. Guards against queueing that makes everyone late: nearly
+// all of the capacity has to go into answers that meet their objective, and urgent requests come first.
+func TestOverloadIsServedInTime(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	c := NewCore(18)
+	var running ends
+	inTime, late, urgent, urgentInTime := 0, 0, 0, 0
+	step := 1000.0 / 225 // arrivals a second, at 160 ms on 18 slots: twice the capacity
+	finish := func(until float64) {
+		for len(running) > 0 && running[0].at <= until {
+			e := heap.Pop(&running).(end)
+			c.Done(at(e.at), e.ticket, true)
+			if at(e.at) <= e.ticket.Aim {
+				inTime++
+				if e.ticket.Priority == 1 {
+					urgentInTime++
+				}
+			} else {
+				late++
+			}
+			for _, s := range c.Poll(at(e.at)) {
+				if s.refused == nil {
+					heap.Push(&running, end{e.at + 160*(0.7+0.6*random.Float64()), s})
+				}
+			}
+		}
+	}
+	for ms := 0.0; ms < 20000; ms += step {
+		finish(ms)
+		priority := 2
+		if random.IntN(3) == 0 {
+			priority = 1
+			urgent++
+		}
+		_, _ = c.Arrive(at(ms), request("r", priority, at(ms), 500*time.Millisecond, 1200*time.Millisecond))
+		for _, s := range c.Poll(at(ms)) {
+			if s.refused == nil {
+				heap.Push(&running, end{ms + 160*(0.7+0.6*random.Float64()), s})
+			}
+		}
+	}
+	capacity := 20 / 0.160 * 18
+	require.Greater(t, float64(inTime), 0.9*capacity)
+	require.Less(t, float64(late), 0.05*capacity)
+	require.Greater(t, float64(urgentInTime), 0.97*float64(urgent))
+}
--- /dev/null
+++ b/internal/event/sidecar.go
@@ -0,0 +1,50 @@
+package event
+
+import "github.com/phuslu/log"
+
+// Events of a node on the users' platform, 6000 to 6099.
+var (
+	SidecarStarted  = register(Event{6000, log.InfoLevel, "node started", ""})
+	SidecarStopping = register(Event{6001, log.InfoLevel, "node is stopping", ""})
+	SidecarStopped  = register(Event{6002, log.InfoLevel, "node stopped", ""})
+	SidecarReload   = register(Event{6003, log.InfoLevel, "SIGHUP: settings were read again", "Changed addresses take effect at the next start."})
+	LinesDropped    = register(Event{6004, log.WarnLevel, "log lines were dropped because the output was slow or the limit was reached", "Raise the limit or read standard output faster if the lines are needed."})
+
+	StoreCallFailed = register(Event{6010, log.WarnLevel, "a call to the store failed", "Check the store; traffic continues, and the call is repeated."})
+	StoreBack       = register(Event{6011, log.InfoLevel, "the store answers again", ""})
+	ConfigInForce   = register(Event{6012, log.InfoLevel, "configuration is in force", ""})
+	ConfigUnread    = register(Event{6013, log.ErrorLevel, "configuration can't be read; the last one stays in force", "Correct the configuration."})
+	EvacuationsSeen = register(Event{6014, log.InfoLevel, "evacuated availability zones changed", ""})
+	ObjectUnread    = register(Event{6015, log.WarnLevel, "an object in the store can't be read and is ignored", "Delete the object or correct its writer."})
+
+	TermBegan        = register(Event{6020, log.InfoLevel, "term of the target began", ""})
+	TermRevoked      = register(Event{6021, log.WarnLevel, "term of the target was revoked", "Check this host's network; the node registers a new term by itself."})
+	TargetStateWrote = register(Event{6022, log.InfoLevel, "state of the target was written to the store", ""})
+	HeartbeatUnread  = register(Event{6023, log.WarnLevel, "heartbeat can't be read and is ignored", "Check the program that announces the target."})
+	HeartbeatStale   = register(Event{6024, log.InfoLevel, "heartbeat of an earlier life or order is ignored", ""})
+	TargetDied       = register(Event{6025, log.WarnLevel, "target has ended without leaving", "Check the target's own log."})
+	RangesReleased   = register(Event{6026, log.InfoLevel, "target released ranges", ""})
+	LeaseShort       = register(Event{6027, log.WarnLevel, "lease check is overdue", "Check the path from this host to the store."})
+
+	LeadTaken     = register(Event{6030, log.InfoLevel, "this node is the coordinator now", ""})
+	LeadLost      = register(Event{6031, log.InfoLevel, "this node is no longer the coordinator", ""})
+	TermRevoking  = register(Event{6032, log.WarnLevel, "revokes the term of a target whose node is silent", "Check that host."})
+	TableWritten  = register(Event{6033, log.InfoLevel, "assignment table was written", ""})
+	TableRefused  = register(Event{6034, log.InfoLevel, "assignment table or record was changed by another writer first", ""})
+	PollRefused   = register(Event{6035, log.InfoLevel, "poll of an earlier coordinator was refused", ""})
+	RangeMoves    = register(Event{6036, log.InfoLevel, "range changes its owner", ""})
+	RecordDeleted = register(Event{6037, log.InfoLevel, "record of a lost host was deleted", ""})
+
+	RequestAnswered  = register(Event{6040, log.InfoLevel, "request was answered", ""})
+	RequestRefused   = register(Event{6041, log.InfoLevel, "request was refused; it has not run", "Many with reason overload: add targets. With no_owner: look for events 6020 to 6037."})
+	RequestUnknown   = register(Event{6042, log.WarnLevel, "outcome of a request is unknown", "Look at the target's host for events 6025 and 6050."})
+	RequestTruncated = register(Event{6043, log.WarnLevel, "answer broke off on its way to the caller", "Look at the target's host."})
+	RequestRepeated  = register(Event{6044, log.InfoLevel, "request is sent again", ""})
+	RequestLeft      = register(Event{6045, log.InfoLevel, "caller left before the answer", ""})
+	RequestInvalid   = register(Event{6046, log.InfoLevel, "request is not valid", "The caller has to correct it."})
+
+	RunFailed       = register(Event{6050, log.WarnLevel, "target broke off a request", "Check the target's own log."})
+	RunRefused      = register(Event{6051, log.InfoLevel, "request was refused in front of the target; it has not run", ""})
+	CrashSuspected  = register(Event{6052, log.WarnLevel, "target ended while it ran a request", "Look for the fingerprint in other lines."})
+	QuarantineBegan = register(Event{6053, log.ErrorLevel, "request is quarantined because it crashes targets", "Find its caller and correct the target."})
+)
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,220 @@
+// Package fleet defines what nodes know of each other: the records in the store, the view that the coordinator
+// pushes, and the messages of its poll. It performs no I/O.
+package fleet
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/citronvane/citronvane/internal/errs"
+	"github.com/citronvane/citronvane/internal/keyspace"
+	"github.com/citronvane/citronvane/internal/store"
+)
+
+// Kinds and names of the product's own objects in the store.
+const (
+	Kind            = "citronvane"
+	LeadKind        = "citronvane-lead"
+	CoordinatorName = "coordinator"
+	targetPrefix    = "target."
+	keysPrefix      = "keys."
+)
+
+// State says whether a target takes work.
+type State string
+
+// The states of a target.
+const (
+	// Serving means that the target takes work.
+	Serving State = "serving"
+	// Leaving means that the target finishes its work and takes no more.
+	Leaving State = "leaving"
+	// Down means that the target is proven to hold no keys under its term.
+	Down State = "down"
+	// Revoked means that the coordinator has ended the term; its holds run out within the lease term.
+	Revoked State = "revoked"
+)
+
+// Target is the record of the target on one host. It is written by the node on that host, but for the revocation.
+type Target struct {
+	// Host is the address of the host without a port. It names the record.
+	Host string `json:"host"`
+	// Node is the name of the node, for people.
+	Node     string `json:"node"`
+	Relay    string `json:"relay"`
+	Zone     string `json:"zone"`
+	Service  string `json:"service"`
+	Instance string `json:"instance"`
+	// Born is the start of the target in Unix milliseconds, as the target says.
+	Born int64 `json:"born"`
+	// Term numbers the tenures of the host's target. A record with a term proves that nothing is held under lower ones.
+	Term  uint64 `json:"term"`
+	State State  `json:"state"`
+	Slots int    `json:"slots"`
+	// Version is the store's version of the record.
+	Version uint64 `json:"version,omitempty"`
+}
+
+// Owner returns the tenure of the record.
+func (t *Target) Owner() keyspace.Owner { return keyspace.Owner{Host: t.Host, Term: t.Term} }
+
+// Table is an assignment table with its version in the store.
+type Table struct {
+	keyspace.Table
+	Version uint64 `json:"version"`
+}
+
+// View is what is known of the fleet at a revision of the store.
+type View struct {
+	Revision uint64             `json:"revision"`
+	Targets  map[string]*Target `json:"targets"`
+	Tables   map[string]*Table  `json:"tables"`
+}
+
+// NewView returns an empty view.
+func NewView() *View {
+	return &View{Targets: map[string]*Target{}, Tables: map[string]*Table{}}
+}
+
+// Clone returns a view whose maps may be changed. Records are shared and must not be changed.
+func (v *View) Clone() *View {
+	c := &View{Revision: v.Revision, Targets: make(map[string]*Target, len(v.Targets)), Tables: make(map[string]*Table, len(v.Tables))}
+	for k, t := range v.Targets {
+		c.Targets[k] = t
+	}
+	for k, t := range v.Tables {
+		c.Tables[k] = t
+	}
+	return c
+}
+
+// With returns the view with the record in place of an older one.
+func (v *View) With(t *Target) *View {
+	c := v.Clone()
+	if old := c.Targets[t.Host]; old == nil || old.Version < t.Version {
+		c.Targets[t.Host] = t
+	}
+	return c
+}
+
+// Stamp is the highest revision that any part of the view comes from. A view with a higher stamp is newer.
+func (v *View) Stamp() uint64 {
+	stamp := v.Revision
+	for _, t := range v.Targets {
+		stamp = max(stamp, t.Version)
+	}
+	for _, t := range v.Tables {
+		stamp = max(stamp, t.Version)
+	}
+	return stamp
+}
+
+// Merge returns the newest state of both views. An object that only one of them has counts as deleted if the other
+// reflects a later revision.
+func (v *View) Merge(o *View) *View {
+	m := &View{Revision: max(v.Revision, o.Revision), Targets: map[string]*Target{}, Tables: map[string]*Table{}}
+	for _, pair := range [][2]*View{{v, o}, {o, v}} {
+		for host, t := range pair[0].Targets {
+			other := pair[1].Targets[host]
+			if other == nil && t.Version > pair[1].Revision || other != nil && t.Version >= other.Version {
+				m.Targets[host] = t
+			}
+		}
+		for service, t := range pair[0].Tables {
+			other := pair[1].Tables[service]
+			if other == nil && t.Version > pair[1].Revision || other != nil && t.Version >= other.Version {
+				m.Tables[service] = t
+			}
+		}
+	}
+	return m
+}
+
+// TargetName returns the object name of a host's record.
+func TargetName(host string) string { return targetPrefix + host }
+
+// TableName returns the object name of a service's table.
+func TableName(service string) string { return keysPrefix + service }
+
+// Apply puts a changed object into the view. A malformed object is an error and changes nothing.
+func (v *View) Apply(c store.Change) error {
+	if host, ok := strings.CutPrefix(c.Name, targetPrefix); ok {
+		return v.applyTarget(host, c)
+	}
+	if service, ok := strings.CutPrefix(c.Name, keysPrefix); ok {
+		return v.applyTable(service, c)
+	}
+	return errs.New(errs.Invalid, "Delete the object.", "fleet: object %q is of no known kind", c.Name)
+}
+
+func (v *View) applyTarget(host string, c store.Change) error {
+	old := v.Targets[host]
+	if old != nil && old.Version >= c.Version {
+		return nil
+	}
+	if c.Deleted {
+		delete(v.Targets, host)
+		return nil
+	}
+	t, err := DecodeTarget(c.Object)
+	if err != nil {
+		return err
+	}
+	v.Targets[host] = t
+	return nil
+}
+
+func (v *View) applyTable(service string, c store.Change) error {
+	old := v.Tables[service]
+	if old != nil && old.Version >= c.Version {
+		return nil
+	}
+	if c.Deleted {
+		delete(v.Tables, service)
+		return nil
+	}
+	t, err := keyspace.Decode(c.Value)
+	if err != nil {
+		return err
+	}
+	v.Tables[service] = &Table{Table: *t, Version: c.Version}
+	return nil
+}
+
+// DecodeTarget reads a record.
+func DecodeTarget(o store.Object) (*Target, error) {
+	t := &Target{}
+	if err := json.Unmarshal(o.Value, t); err != nil {
+		return nil, errs.Wrap(err, errs.Invalid, "Check which program wrote the record.", "fleet: record %q", o.Name)
+	}
+	if TargetName(t.Host) != o.Name || t.Relay == "" || t.Service == "" || t.Term == 0 {
+		return nil, errs.New(errs.Invalid, "Check which program wrote the record.", "fleet: record %q is incomplete", o.Name)
+	}
+	t.Version = o.Version
+	return t, nil
+}
+
+// Encode writes a record.
+func (t *Target) Encode() []byte {
+	c := *t
+	c.Version = 0
+	return mustEncode(c)
+}
+
+func mustEncode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("fleet: a message can't be encoded: " + err.Error()) // The types have only numbers and texts.
+	}
+	return data
+}
+
+// Lead is the record of the coordinator.
+type Lead struct {
+	Host string `json:"host"`
+	// Round counts the changes of the coordinator.
+	Round uint64 `json:"round"`
+}
+
+// Encode writes the record.
+func (l Lead) Encode() []byte { return mustEncode(l) }
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/store"
+)
+
+func change(name, value string, version uint64) store.Change {
+	return store.Change{Object: store.Object{Kind: Kind, Name: name, Version: version, Value: []byte(value)}}
+}
+
+const record = `{"host":"10.0.0.1","relay":"10.0.0.1:7380","service":"s","term":3,"state":"serving"}`
+
+func TestApplyKeepsTheNewest(t *testing.T) {
+	v := NewView()
+	require.NoError(t, v.Apply(change("target.10.0.0.1", record, 7)))
+	require.NoError(t, v.Apply(change("target.10.0.0.1", `{"host":"10.0.0.1","relay":"r","service":"s","term":2}`, 6)))
+	require.Equal(t, uint64(3), v.Targets["10.0.0.1"].Term)
+	require.Equal(t, uint64(7), v.Stamp())
+	gone := change("target.10.0.0.1", "", 9)
+	gone.Deleted = true
+	require.NoError(t, v.Apply(gone))
+	require.Empty(t, v.Targets)
+}
+
+// Guards against an entry of another writer taking the rest of the view with it.
+func TestMalformedObjectsChangeNothing(t *testing.T) {
+	v := NewView()
+	require.NoError(t, v.Apply(change("target.10.0.0.1", record, 7)))
+	for _, c := range []store.Change{
+		change("target.10.0.0.1", `{"host":"10.0.0.1","term":"x"}`, 8),
+		change("target.10.0.0.1", `{"host":"10.0.0.2","relay":"r","service":"s","term":4}`, 8),
+		change("target.10.0.0.2", `null`, 8),
+		change("keys.s", `{"fence":1,"rows":[{"from":3}]}`, 8),
+		change("other", `{}`, 8),
+	} {
+		require.Error(t, v.Apply(c), string(c.Value))
+	}
+	require.Len(t, v.Targets, 1)
+	require.Equal(t, uint64(3), v.Targets["10.0.0.1"].Term)
+}
+
+func TestMerge(t *testing.T) {
+	a, b := NewView(), NewView()
+	a.Revision, b.Revision = 10, 20
+	a.Targets["deleted"] = &Target{Host: "deleted", Version: 9}
+	a.Targets["own"] = &Target{Host: "own", Version: 25}
+	b.Targets["own"] = &Target{Host: "own", Version: 15}
+	b.Targets["new"] = &Target{Host: "new", Version: 18}
+	b.Tables["s"] = &Table{Version: 12}
+	for _, m := range []*View{a.Merge(b), b.Merge(a)} {
+		require.Equal(t, uint64(20), m.Revision)
+		require.Len(t, m.Targets, 2)
+		require.Equal(t, uint64(25), m.Targets["own"].Version)
+		require.NotNil(t, m.Targets["new"])
+		require.NotNil(t, m.Tables["s"])
+	}
+}
--- /dev/null
+++ b/internal/fleet/poll.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"encoding/json"
+
+	"github.com/citronvane/citronvane/internal/errs"
+	"github.com/citronvane/citronvane/internal/keyspace"
+)
+
+// Poll is what the coordinator sends to each node about once a second.
+type Poll struct {
+	Coordinator string `json:"coordinator"`
+	// Relay is the coordinator's address for reports between polls.
+	Relay string `json:"relay"`
+	Round uint64 `json:"round"`
+	// View is set if the node's own is older.
+	View *View `json:"view,omitempty"`
+	// Quarantine lists the fingerprints of requests that crash targets.
+	Quarantine []uint64 `json:"quarantine,omitempty"`
+}
+
+// Report is the answer to a poll.
+type Report struct {
+	Host string `json:"host"`
+	// Stamp is that of the node's view.
+	Stamp uint64 `json:"stamp"`
+	// Refused says that the node knows a later coordinator.
+	Refused bool `json:"refused,omitempty"`
+	// LeaseMs is how long the node may go on granting without another check, in milliseconds.
+	LeaseMs int64 `json:"lease_ms"`
+	// ColdMs is how long the target stays cold, in milliseconds.
+	ColdMs int64 `json:"cold_ms"`
+	// Demand is the work that arrived for the target lately, in slots kept busy.
+	Demand float64 `json:"demand"`
+	// Times holds the mean service time by route, in seconds.
+	Times    map[string]float64 `json:"times,omitempty"`
+	Segments []Segment          `json:"segments,omitempty"`
+	Released []Release          `json:"released,omitempty"`
+	// Crashes counts by fingerprint how often a request was running when the target ended.
+	Crashes map[uint64]int `json:"crashes,omitempty"`
+}
+
+// Segment is the demand for a range of keys, in slots of the reporting target kept busy.
+type Segment struct {
+	keyspace.Range
+	Demand float64 `json:"demand"`
+}
+
+// Release says that the target holds nothing of the range any more.
+type Release struct {
+	keyspace.Range
+	Fence    uint64 `json:"fence"`
+	Handover string `json:"handover,omitempty"`
+}
+
+// Encode writes the message.
+func (p *Poll) Encode() []byte { return mustEncode(p) }
+
+// Encode writes the message.
+func (r *Report) Encode() []byte { return mustEncode(r) }
+
+// DecodePoll reads a poll.
+func DecodePoll(data []byte) (*Poll, error) {
+	p := &Poll{}
+	if err := json.Unmarshal(data, p); err != nil {
+		return nil, errs.Wrap(err, errs.Invalid, "Check that all nodes run compatible versions.", "fleet: poll")
+	}
+	if p.View != nil {
+		for _, t := range p.View.Tables {
+			if err := t.Validate(); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return p, nil
+}
+
+// DecodeReport reads a report.
+func DecodeReport(data []byte) (*Report, error) {
+	r := &Report{}
+	err := json.Unmarshal(data, r)
+	return r, errs.Wrap(err, errs.Invalid, "Check that all nodes run compatible versions.", "fleet: report")
+}
--- /dev/null
+++ b/internal/ingress/budget.go
@@ -0,0 +1,91 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/clock"
+)
+
+const (
+	// budgetBuckets is the number of parts of the window.
+	budgetBuckets = 10
+	// ownShare is the part of the allowance that this node uses of its share, since nodes see unequal loads.
+	ownShare = 0.7
+)
+
+// Budget bounds how often a node sends requests of one service a second time, so that all nodes together stay within
+// ratio x requests + slack in any window. It is safe for concurrent use.
+type Budget struct {
+	bucket time.Duration
+	ratio  float64
+	slack  float64
+
+	mu       sync.Mutex
+	nodes    int
+	current  int64
+	requests [budgetBuckets]int
+	repeats  [budgetBuckets]int
+}
+
+// NewBudget returns a budget with the bounds of the platform: the window, the ratio of repeats to requests, and the
+// repeats that are allowed besides.
+func NewBudget(window time.Duration, ratio, slack float64) *Budget {
+	return &Budget{bucket: window / budgetBuckets, ratio: ratio, slack: slack, nodes: 1}
+}
+
+// SetNodes sets the number of nodes that share the slack.
+func (b *Budget) SetNodes(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes = max(1, n)
+}
+
+func (b *Budget) advance(now clock.Instant) int {
+	at := int64(now) / int64(b.bucket)
+	if at-b.current > budgetBuckets {
+		b.current = at - budgetBuckets
+	}
+	for b.current < at {
+		b.current++
+		b.requests[b.current%budgetBuckets], b.repeats[b.current%budgetBuckets] = 0, 0
+	}
+	return int(at % budgetBuckets)
+}
+
+// Request counts a request for the service.
+func (b *Budget) Request(now clock.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests[b.advance(now)]++
+}
+
+// Allow reports whether a request may be sent once more, and spends the budget for it.
+func (b *Budget) Allow(now clock.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := b.advance(now)
+	requests, repeats := 0, 0
+	for i := range b.requests {
+		requests += b.requests[i]
+		repeats += b.repeats[i]
+	}
+	if float64(repeats+1) > ownShare*(b.ratio*float64(requests)+b.slack/float64(b.nodes)) {
+		return false
+	}
+	b.repeats[at]++
+	return true
+}
+
+// Left returns how many repeats are left in the window.
+func (b *Budget) Left(now clock.Instant) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	requests, repeats := 0, 0
+	for i := range b.requests {
+		requests += b.requests[i]
+		repeats += b.repeats[i]
+	}
+	return max(0, int(ownShare*(b.ratio*float64(requests)+b.slack/float64(b.nodes)))-repeats)
+}
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,86 @@
+package ingress
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/clock"
+)
+
+func at(ms int) clock.Instant {
+	return clock.Instant(100 * time.Second).Add(time.Duration(ms) * time.Millisecond)
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	a := &Route{Name: "a", Host: "x.example", Prefix: "/a/", Parts: []Part{{"s", 0}}}
+	ab := &Route{Name: "ab", Host: "x.example", Prefix: "/a/b/", Parts: []Part{{"s", 0}}}
+	c := NewConfig(1, []*Route{a, ab}, nil, Limits{})
+	require.Same(t, ab, c.Match("X.example:80", "/a/b/c"))
+	require.Same(t, a, c.Match("x.example", "/a/bc"))
+	require.Nil(t, c.Match("x.example", "/a"))
+	require.Nil(t, c.Match("y.example", "/a/b/c"))
+}
+
+func TestPartsGetTheirWeight(t *testing.T) {
+	r := &Route{Parts: []Part{{"s", 90}, {"t", 10}}}
+	NewConfig(1, []*Route{r}, nil, Limits{})
+	count := 0
+	for i := range 10000 {
+		if r.Pick(fmt.Sprintf("%x", i)) == "t" {
+			count++
+		}
+	}
+	require.InDelta(t, 1000, count, 100)
+}
+
+func TestPoolAvoidsBusyAndUnreachableTargets(t *testing.T) {
+	p := NewPool("a")
+	targets := []Candidate{{"h1", "a", 18}, {"h2", "b", 18}}
+	require.Equal(t, 0, p.Choose(at(0), targets, false, nil), "own zone first")
+	p.Sent("h1")
+	p.Answered(at(0), "h1", &Load{Busy: 40, Slots: 18, Mean: 50 * time.Millisecond})
+	require.Equal(t, 1, p.Choose(at(1), targets, false, nil))
+	require.Equal(t, 0, p.Choose(at(1), targets, true, nil), "large answers stay in the zone a while longer")
+	p.Sent("h2")
+	require.Equal(t, firstEject, p.Unreachable(at(1), "h2"))
+	require.Equal(t, 0, p.Choose(at(2), targets, false, nil))
+	require.Equal(t, 1, p.Choose(at(2), targets, false, map[string]bool{"h1": true}), "rather an ejected one than none")
+	require.Equal(t, 1, p.Choose(at(1000), targets[1:], false, nil)+1)
+	require.Equal(t, -1, p.Choose(at(2), nil, false, nil))
+}
+
+// Guards against a retry storm: 13 nodes under failures of every request stay within the platform's bound.
+func TestBudgetHoldsForAllNodes(t *testing.T) {
+	const nodes, ratio, slack = 13, 0.2, 64.0
+	budgets := make([]*Budget, nodes)
+	for i := range budgets {
+		budgets[i] = NewBudget(10*time.Second, ratio, slack)
+		budgets[i].SetNodes(nodes)
+	}
+	type event struct{ requests, repeats int }
+	var seconds []event
+	for s := range 60 {
+		e := event{}
+		for ms := 0; ms < 1000; ms += 20 {
+			for _, b := range budgets {
+				b.Request(at(s*1000 + ms))
+				e.requests++
+				if b.Allow(at(s*1000 + ms)) {
+					e.repeats++
+				}
+			}
+		}
+		seconds = append(seconds, e)
+	}
+	for i := 10; i < len(seconds); i++ {
+		requests, repeats := 0, 0
+		for _, e := range seconds[i-10 : i] {
+			requests += e.requests
+			repeats += e.repeats
+		}
+		require.LessOrEqual(t, float64(repeats), ratio*float64(requests)+slack)
+	}
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,424 @@
+// Package placement decides which targets are revoked and which owner each range of keys gets. It performs no I/O and
+// takes the time as an argument.
+//
+// Invariant: a range is assigned only if its last owner certainly holds nothing of it: the owner's term is over, or
+// the owner's node reports the range as released under the same fencing token.
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/keyspace"
+)
+
+// Options are the durations and bounds of a plan.
+type Options struct {
+	// LeaseTerm is how long grants may last after a revocation.
+	LeaseTerm time.Duration
+	// Silence is how long a node may leave polls unanswered before its target is revoked.
+	Silence time.Duration
+	// Gather is how long the first assignment waits for targets to register.
+	Gather time.Duration
+}
+
+const (
+	// revokeMargin covers the resolution of timers on both sides.
+	revokeMargin = 100 * time.Millisecond
+	// coldLeft is the rest of a cold start that a new owner may still have before it.
+	coldLeft = 300 * time.Millisecond
+	// maxRows bounds the table, so that it stays small enough to push at each change.
+	maxRows = 400
+)
+
+// Node is what the coordinator knows of a node beyond its record.
+type Node struct {
+	Report *fleet.Report
+	// Answered is when it last answered a poll, or when it became known.
+	Answered clock.Instant
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Now   clock.Instant
+	View  *fleet.View
+	Nodes map[string]*Node
+	// Revoked holds when the coordinator first saw a term revoked.
+	Revoked map[keyspace.Owner]clock.Instant
+	// Evacuated holds the zones that are out of service.
+	Evacuated map[string]bool
+	// Keyed holds the services whose keys have owners.
+	Keyed map[string]bool
+	// Began is when the coordinator began.
+	Began clock.Instant
+	// Balanced holds when ranges of a service were last moved for balance.
+	Balanced map[string]clock.Instant
+}
+
+// Plan is what to write.
+type Plan struct {
+	// Revoke lists the hosts whose terms are to be revoked.
+	Revoke []string
+	// Tables holds the tables that change.
+	Tables map[string]*Change
+}
+
+// Change is a new table, with the reasons for the log.
+type Change struct {
+	Table   *keyspace.Table
+	Balance bool
+	Moves   []Move
+}
+
+// Move explains the change of one range.
+type Move struct {
+	keyspace.Range
+	// Last is the owner so far, Owner the one that the range goes to.
+	Last, Owner keyspace.Owner
+	Reason      Reason
+	// Warm says that the last holder's handover token is passed on.
+	Warm bool
+}
+
+// Reason says why a range changes.
+type Reason string
+
+// The reasons.
+const (
+	Unowned   Reason = "unowned"
+	OwnerGone Reason = "owner_gone"
+	Released  Reason = "released"
+	Evacuate  Reason = "evacuate"
+	Balance   Reason = "balance"
+	NextGone  Reason = "next_gone"
+)
+
+// Make returns the next step.
+func Make(in *Input, o Options) Plan {
+	p := Plan{Tables: map[string]*Change{}}
+	for service := range in.Keyed {
+		s := newService(in, o, service)
+		p.Revoke = append(p.Revoke, s.silent()...)
+		if c := s.plan(); c != nil {
+			p.Tables[service] = c
+		}
+	}
+	sort.Strings(p.Revoke)
+	return p
+}
+
+// service is the planning state of one service.
+type service struct {
+	in         *Input
+	o          Options
+	name       string
+	old        *keyspace.Table
+	table      *keyspace.Table
+	candidates []*candidate
+	change     Change
+}
+
+// candidate is a target that may get ranges.
+type candidate struct {
+	target *fleet.Target
+	report *fleet.Report
+	cold   bool
+	// load is the demand in slots kept busy, with what the plan adds.
+	load float64
+	// pace is the service time relative to the mean of the service.
+	pace float64
+}
+
+func (c *candidate) slots() float64 { return float64(max(1, c.target.Slots)) }
+
+// ratio is the share of the target's slots that are busy.
+func (c *candidate) ratio() float64 { return c.load / c.slots() }
+
+func newService(in *Input, o Options, name string) *service {
+	s := &service{in: in, o: o, name: name, old: &keyspace.Table{}}
+	if t := in.View.Tables[name]; t != nil {
+		s.old = &t.Table
+	}
+	s.table = s.old.Clone()
+	for _, host := range sortedHosts(in.View) {
+		t := in.View.Targets[host]
+		if t.Service != name || !s.usable(t) {
+			continue
+		}
+		c := &candidate{target: t, pace: 1}
+		if n := in.Nodes[host]; n != nil && n.Report != nil {
+			c.report = n.Report
+			c.load = n.Report.Demand
+			c.cold = time.Duration(n.Report.ColdMs)*time.Millisecond > coldLeft
+		}
+		s.candidates = append(s.candidates, c)
+	}
+	s.measurePace()
+	return s
+}
+
+func sortedHosts(v *fleet.View) []string {
+	hosts := make([]string, 0, len(v.Targets))
+	for host := range v.Targets {
+		hosts = append(hosts, host)
+	}
+	sort.Strings(hosts)
+	return hosts
+}
+
+// usable reports whether the target may get ranges.
+func (s *service) usable(t *fleet.Target) bool {
+	if t.State != fleet.Serving || s.in.Evacuated[t.Zone] {
+		return false
+	}
+	n := s.in.Nodes[t.Host]
+	return n == nil || s.in.Now.Sub(n.Answered) < s.o.Silence && (n.Report == nil || n.Report.LeaseMs > 0)
+}
+
+// silent returns the hosts that own ranges and do not answer polls, or say that their lease has lapsed.
+func (s *service) silent() []string {
+	owners := map[string]bool{}
+	for _, r := range s.old.Rows {
+		owners[r.Owner.Host] = true
+		owners[r.Next.Host] = true
+	}
+	var hosts []string
+	for _, host := range sortedHosts(s.in.View) {
+		t, n := s.in.View.Targets[host], s.in.Nodes[host]
+		if t.Service != s.name || !owners[host] || n == nil || t.State != fleet.Serving && t.State != fleet.Leaving {
+			continue
+		}
+		if s.in.Now.Sub(n.Answered) >= s.o.Silence || n.Report != nil && n.Report.LeaseMs <= 0 {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// measurePace compares the service times of the candidates route by route.
+func (s *service) measurePace() {
+	sum, count := map[string]float64{}, map[string]float64{}
+	for _, c := range s.candidates {
+		if c.report == nil {
+			continue
+		}
+		for route, t := range c.report.Times {
+			sum[route] += t
+			count[route]++
+		}
+	}
+	for _, c := range s.candidates {
+		if c.report == nil || len(c.report.Times) == 0 {
+			continue
+		}
+		total := 0.0
+		for route, t := range c.report.Times {
+			total += t / (sum[route] / count[route])
+		}
+		c.pace = total / float64(len(c.report.Times))
+	}
+}
+
+// ended reports whether the owner certainly holds nothing under its term.
+func (s *service) ended(o keyspace.Owner) bool {
+	t := s.in.View.Targets[o.Host]
+	if t == nil || t.Term > o.Term {
+		return true
+	}
+	if t.Term < o.Term {
+		return false // The view of the record is older than the table.
+	}
+	if t.State == fleet.Down {
+		return true
+	}
+	since, seen := s.in.Revoked[o]
+	return t.State == fleet.Revoked && seen && s.in.Now.Sub(since) >= s.o.LeaseTerm+revokeMargin
+}
+
+// released returns the handover token of a row that the owner's node reports as released.
+func (s *service) released(r keyspace.Row) (string, bool) {
+	n := s.in.Nodes[r.Owner.Host]
+	if n == nil || n.Report == nil {
+		return "", false
+	}
+	for _, rel := range n.Report.Released {
+		if rel.Fence == r.Fence && rel.Covers(r.Range) {
+			return rel.Handover, true
+		}
+	}
+	return "", false
+}
+
+// plan returns the change of the table, or nil.
+func (s *service) plan() *Change {
+	if len(s.candidates) == 0 {
+		return nil
+	}
+	free := s.free()
+	s.assign(free)
+	s.evacuate()
+	s.balance()
+	if len(s.change.Moves) == 0 {
+		return nil
+	}
+	s.change.Table = s.table
+	return &s.change
+}
+
+// vacancy is a range that may be assigned.
+type vacancy struct {
+	keyspace.Range
+	last     keyspace.Owner
+	next     keyspace.Owner
+	handover string
+	reason   Reason
+	demand   float64
+}
+
+// free returns the ranges that may be assigned now.
+func (s *service) free() []vacancy {
+	var free []vacancy
+	for _, r := range s.table.Rows {
+		if s.ended(r.Owner) {
+			free = append(free, vacancy{r.Range, r.Owner, r.Next, "", OwnerGone, s.demand(r)})
+		} else if token, ok := s.released(r); ok {
+			free = append(free, vacancy{r.Range, r.Owner, r.Next, token, Released, s.demand(r)})
+		}
+	}
+	if s.in.Now.Sub(s.in.Began) < s.o.Gather {
+		return free
+	}
+	for _, gap := range s.table.Gaps() {
+		for _, part := range split(gap, len(s.candidates)) {
+			free = append(free, vacancy{part, keyspace.Owner{}, keyspace.Owner{}, "", Unowned, 0})
+		}
+	}
+	return free
+}
+
+// split cuts a gap into parts of the size that each target would get of the whole keyspace.
+func split(gap keyspace.Range, targets int) []keyspace.Range {
+	size := (keyspace.MaxKey + targets) / targets
+	var parts []keyspace.Range
+	for from := gap.From; from <= gap.To; from += size {
+		parts = append(parts, keyspace.Range{From: from, To: min(gap.To, from+size-1)})
+	}
+	return parts
+}
+
+// demand returns the demand that the owner last reported for the row.
+func (s *service) demand(r keyspace.Row) float64 {
+	n := s.in.Nodes[r.Owner.Host]
+	if n == nil || n.Report == nil {
+		return 0
+	}
+	sum := 0.0
+	for _, seg := range n.Report.Segments {
+		if seg.Overlaps(r.Range) {
+			shared := min(seg.To, r.To) - max(seg.From, r.From) + 1
+			sum += seg.Demand * float64(shared) / float64(seg.Size())
+		}
+	}
+	return sum
+}
+
+// assign gives the free ranges to owners, the busiest first.
+func (s *service) assign(free []vacancy) {
+	sort.SliceStable(free, func(i, j int) bool { return free[i].demand > free[j].demand })
+	width := s.widths()
+	for _, v := range free {
+		c := s.find(v.next)
+		if c == nil {
+			c = s.least(width, v.demand > 0)
+		}
+		if c == nil {
+			continue
+		}
+		c.load += v.demand * c.pace
+		width[c.target.Host] += v.Size()
+		s.table.Assign(v.Range, c.target.Owner(), v.handover)
+		s.change.Moves = append(s.change.Moves, Move{v.Range, v.last, c.target.Owner(), v.reason, v.handover != ""})
+	}
+}
+
+// widths returns the number of keys of each host.
+func (s *service) widths() map[string]int {
+	width := map[string]int{}
+	for _, r := range s.table.Rows {
+		host := r.Owner.Host
+		if !r.Next.IsZero() {
+			host = r.Next.Host
+		}
+		width[host] += r.Size()
+	}
+	return width
+}
+
+// find returns the candidate with the tenure.
+func (s *service) find(o keyspace.Owner) *candidate {
+	for _, c := range s.candidates {
+		if c.target.Owner() == o {
+			return c
+		}
+	}
+	return nil
+}
+
+// least returns the candidate with the least load, or with the fewest keys where demand is not known. Warm targets
+// come first.
+func (s *service) least(width map[string]int, byLoad bool) *candidate {
+	var best *candidate
+	better := func(a, b *candidate) bool {
+		if a.cold != b.cold {
+			return !a.cold
+		}
+		if byLoad && a.ratio() != b.ratio() {
+			return a.ratio() < b.ratio()
+		}
+		return width[a.target.Host] < width[b.target.Host]
+	}
+	for _, c := range s.candidates {
+		if best == nil || better(c, best) {
+			best = c
+		}
+	}
+	return best
+}
+
+// evacuate moves the ranges of owners that are alive and may not serve any more.
+func (s *service) evacuate() {
+	width := s.widths()
+	for i := range s.table.Rows {
+		r := &s.table.Rows[i]
+		if !r.Next.IsZero() {
+			// The move is never taken back: the owner may have reported the range as released already, and a
+			// grant under the same fencing token would make that report false.
+			if s.find(r.Next) == nil {
+				s.moveToLeast(r, width, NextGone)
+			}
+			continue
+		}
+		t := s.in.View.Targets[r.Owner.Host]
+		if t != nil && t.Term == r.Owner.Term && t.State == fleet.Serving && s.in.Evacuated[t.Zone] {
+			s.moveToLeast(r, width, Evacuate)
+		}
+	}
+}
+
+func (s *service) moveToLeast(r *keyspace.Row, width map[string]int, reason Reason) {
+	demand := s.demand(*r)
+	c := s.least(width, demand > 0)
+	if c == nil || c.target.Owner() == r.Next {
+		return
+	}
+	c.load += demand * c.pace
+	width[c.target.Host] += r.Size()
+	s.move(r, c.target.Owner(), reason)
+}
+
+func (s *service) move(r *keyspace.Row, next keyspace.Owner, reason Reason) {
+	r.Next = next
+	s.change.Moves = append(s.change.Moves, Move{r.Range, r.Owner, next, reason, false})
+}
--- /dev/null
+++ b/internal/settings/sidecar.go
@@ -0,0 +1,88 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
+
+	"github.com/citronvane/citronvane/internal/errs"
+)
+
+// Sidecar holds the settings of a node on the users' platform, from deploy/node.yaml.
+type Sidecar struct {
+	// Node is the name of the node, for people.
+	Node string `yaml:"node" validate:"required"`
+	// Host is the address of the host without a port.
+	Host             string `yaml:"host" validate:"required,ip"`
+	AvailabilityZone string `yaml:"availability_zone" validate:"required"`
+	// Service is the service that the target on the host belongs to.
+	Service string `yaml:"service" validate:"required"`
+	// Target is the address of the target on the host.
+	Target string `yaml:"target" validate:"required,hostport"`
+	// HeartbeatIntervalMs is how often the target reports, in milliseconds.
+	HeartbeatIntervalMs float64 `yaml:"heartbeat_interval_ms" validate:"gt=0"`
+	// RelayPorts are the first and the last port that nodes may use between themselves.
+	RelayPorts []int         `yaml:"relay_ports" validate:"len=2,dive,gt=0,lt=65536"`
+	Listen     SidecarListen `yaml:"listen"`
+	Store      SidecarStore  `yaml:"store"`
+	// Bounds are the platform's bounds by its own names; package platform reads them.
+	Bounds map[string]any `yaml:"bounds"`
+}
+
+// SidecarListen holds the addresses that the node serves.
+type SidecarListen struct {
+	// Entrance is for callers on the host and the target itself.
+	Entrance string `yaml:"entrance" validate:"required,hostport"`
+	// Readiness is where the platform asks whether the node takes callers.
+	Readiness string `yaml:"readiness" validate:"required,hostport"`
+	// Heartbeats is where the target reports.
+	Heartbeats string `yaml:"heartbeats" validate:"required,hostport"`
+	// Metrics serves the node's own metrics.
+	Metrics string `yaml:"metrics" validate:"required,hostport"`
+}
+
+// SidecarStore says where the platform's store is.
+type SidecarStore struct {
+	Address string `yaml:"address" validate:"required,hostport"`
+}
+
+// Relay returns the address for requests from other nodes.
+func (s *Sidecar) Relay() string { return fmt.Sprintf("%s:%d", s.Host, s.RelayPorts[0]) }
+
+// HeartbeatInterval returns how often the target reports.
+func (s *Sidecar) HeartbeatInterval() time.Duration {
+	return time.Duration(s.HeartbeatIntervalMs * float64(time.Millisecond))
+}
+
+// ReadSidecarFile reads and checks the settings of a node on the users' platform. Unknown fields are ignored, since the
+// platform may add some.
+func ReadSidecarFile(path string) (*Sidecar, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Invalid, "Name a settings file that can be read.", "settings")
+	}
+	return ReadSidecar(path, data)
+}
+
+// ReadSidecar checks the settings in data; path is used in error messages.
+func ReadSidecar(path string, data []byte) (*Sidecar, error) {
+	if len(data) > maxFileBytes {
+		return nil, errs.New(errs.TooLarge, "Check that this is the settings file.", "%s: has %d bytes, more than %d", path, len(data), maxFileBytes)
+	}
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return nil, syntaxError(path, err)
+	}
+	s := &Sidecar{}
+	if err := yaml.NewDecoder(bytes.NewReader(data)).Decode(s); err != nil {
+		return nil, syntaxError(path, err)
+	}
+	if err := newValidator().Struct(s); err != nil {
+		return nil, fieldErrors(path, file, err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/sidecar/coordinator.go
@@ -0,0 +1,510 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/errs"
+	"github.com/citronvane/citronvane/internal/event"
+	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/keyspace"
+	"github.com/citronvane/citronvane/internal/placement"
+	"github.com/citronvane/citronvane/internal/store"
+)
+
+const (
+	// forgetAfter is how long a host whose term is over may stay silent before its record is deleted.
+	forgetAfter = 30 * time.Second
+	// crashLimit is the number of targets that a request may have crashed before it is quarantined.
+	crashLimit = 2
+	// maxQuarantine bounds the quarantined fingerprints.
+	maxQuarantine = 64
+	// ownOutage is how long the coordinator's own path to the store may be down before it stops polling, so that
+	// another node takes its place.
+	ownOutage = 2 * time.Second
+)
+
+// coordinator polls the nodes, revokes silent ones and assigns ranges while this node leads. Its fields belong to the
+// control goroutine. Whatever it writes is a compare-and-swap, so that a second coordinator costs work only.
+type coordinator struct {
+	*node
+	// polled is when the last poll of a coordinator came; leader is who sent it.
+	polled clock.Instant
+	leader fleet.Poll
+	spread time.Duration
+
+	leads   bool
+	busy    bool // a call about the lead is under way
+	round   uint64
+	stop    context.CancelFunc
+	began   clock.Instant
+	heard   clock.Instant // when the store last answered the watch
+	members map[string]*polledNode
+	revoked map[keyspace.Owner]clock.Instant
+	// balanced holds when ranges of a service were last moved for balance.
+	balanced   map[string]clock.Instant
+	writing    map[string]bool // objects with a write under way
+	crashes    map[uint64]map[string]int
+	quarantine []uint64
+}
+
+// polledNode is a node as the coordinator knows it.
+type polledNode struct {
+	placement.Node
+	polling bool
+	sent    clock.Instant
+	stamp   uint64
+}
+
+func newCoordinator(n *node) *coordinator {
+	return &coordinator{node: n, polled: n.clock.Now().Add(-leadSilence), spread: spread()}
+}
+
+func spread() time.Duration { return time.Duration(rand.Int64N(int64(leadSpread))) }
+
+// poll takes a poll. The report is marked as refused if a later coordinator is known.
+func (c *coordinator) poll(now clock.Instant, p *fleet.Poll) *fleet.Report {
+	if p.Round < c.leader.Round || p.Round == c.leader.Round && c.leader.Coordinator != "" && p.Coordinator != c.leader.Coordinator || c.leads && p.Round < c.round {
+		event.PollRefused.On(c.log).Str("from", p.Coordinator).Uint64("round", p.Round).Send()
+		return &fleet.Report{Host: c.settings.Host, Refused: true}
+	}
+	if c.leads && p.Round > c.round {
+		c.resign("a later coordinator polls")
+	}
+	c.polled, c.leader = now, *p
+	c.leader.View = nil
+	if p.View != nil {
+		c.take(now, c.state.view.Load().Merge(p.View))
+	}
+	c.gate.setQuarantine(p.Quarantine)
+	return c.member.report(now)
+}
+
+// take puts a newer view in force at this node.
+func (c *coordinator) take(now clock.Instant, v *fleet.View) {
+	c.state.view.Store(v)
+	if own := v.Targets[c.settings.Host]; own != nil {
+		if m := c.member; m.record != nil && own.Version > m.record.Version {
+			m.record = own
+			if own.State == fleet.Revoked && own.Term == m.holder.Owner().Term {
+				m.revoked("the coordinator revoked it")
+			}
+		}
+	}
+	c.state.notify()
+	c.member.reconcile(now)
+}
+
+// tick makes the time-driven decisions.
+func (c *coordinator) tick(now clock.Instant) {
+	if !c.leads {
+		if now.Sub(c.polled) > leadSilence+c.spread && !c.busy && !c.state.draining.Load() {
+			c.campaign(now)
+		}
+		return
+	}
+	if now.Sub(c.heard) > ownOutage+leadWatchWait {
+		c.resign("the store is silent")
+		return
+	}
+	c.pollAll(now)
+	c.plan(now)
+	c.forget(now)
+}
+
+// campaign tries to become the coordinator.
+func (c *coordinator) campaign(now clock.Instant) {
+	c.busy = true
+	c.spread = spread()
+	c.background(func(ctx context.Context) func(clock.Instant) {
+		round, err := c.takeLead(ctx)
+		var v *fleet.View
+		if err == nil {
+			v, err = c.list(ctx)
+		}
+		return func(after clock.Instant) {
+			c.busy = false
+			if err != nil {
+				c.polled = after.Add(-leadSilence + storeRetry) // Others may have been faster.
+				return
+			}
+			c.lead(after, round, v)
+		}
+	})
+}
+
+// takeLead writes this node as the coordinator.
+func (c *coordinator) takeLead(ctx context.Context) (uint64, error) {
+	var old fleet.Lead
+	o, err := c.store.Get(ctx, fleet.LeadKind, fleet.CoordinatorName)
+	if err == nil {
+		if err := json.Unmarshal(o.Value, &old); err != nil {
+			event.ObjectUnread.On(c.log).Str("object", o.Name).Err(err).Send() // It is replaced.
+		}
+	} else if !errs.Is(err, errs.NotFound) {
+		return 0, err
+	}
+	lead := fleet.Lead{Host: c.settings.Host, Round: max(old.Round, o.Version) + 1}
+	_, err = c.store.Put(ctx, fleet.LeadKind, fleet.CoordinatorName, lead.Encode(), o.Version)
+	return lead.Round, err
+}
+
+// list reads the whole view.
+func (n *node) list(ctx context.Context) (*fleet.View, error) {
+	objects, revision, err := n.store.List(ctx, fleet.Kind)
+	if err != nil {
+		return nil, err
+	}
+	v := fleet.NewView()
+	v.Revision = revision
+	for _, o := range objects {
+		if err := v.Apply(store.Change{Object: o}); err != nil {
+			event.ObjectUnread.On(n.log).Str("object", o.Name).Err(err).Send()
+		}
+	}
+	return v, nil
+}
+
+// lead begins to act as the coordinator.
+func (c *coordinator) lead(now clock.Instant, round uint64, v *fleet.View) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.leads, c.round, c.stop, c.began, c.heard = true, round, cancel, now, now
+	c.members = map[string]*polledNode{}
+	c.revoked = map[keyspace.Owner]clock.Instant{}
+	c.balanced = map[string]clock.Instant{}
+	c.writing = map[string]bool{}
+	c.crashes = map[uint64]map[string]int{}
+	event.LeadTaken.On(c.log).Uint64("round", round).Uint64("revision", v.Revision).Send()
+	c.take(now, c.state.view.Load().Merge(v))
+	go c.watch(ctx, v.Revision)
+	c.tick(now)
+}
+
+func (c *coordinator) resign(why string) {
+	event.LeadLost.On(c.log).Str("why", why).Uint64("round", c.round).Send()
+	c.leads = false
+	c.stop()
+	c.polled = c.clock.Now()
+}
+
+// watch follows the product's own objects while this node leads.
+func (c *coordinator) watch(ctx context.Context, since uint64) {
+	for ctx.Err() == nil {
+		changes, revision, err := c.store.Watch(ctx, fleet.Kind, since, leadWatchWait)
+		var listed *fleet.View
+		if errs.Is(err, errs.Compacted) {
+			listed, err = c.list(ctx)
+		}
+		if err != nil {
+			if !sleep(ctx, storeRetry) {
+				return
+			}
+			continue
+		}
+		if listed != nil {
+			revision = listed.Revision
+		}
+		since = revision
+		c.post(func(now clock.Instant) {
+			if ctx.Err() == nil {
+				c.watched(now, changes, revision, listed)
+			}
+		})
+	}
+}
+
+func (c *coordinator) watched(now clock.Instant, changes []store.Change, revision uint64, listed *fleet.View) {
+	c.heard = now
+	v := c.state.view.Load()
+	if listed != nil {
+		v = v.Merge(listed)
+	} else {
+		v = v.Clone()
+		for _, change := range changes {
+			if err := v.Apply(change); err != nil {
+				event.ObjectUnread.On(c.log).Str("object", change.Name).Err(err).Send()
+			}
+		}
+		v.Revision = max(v.Revision, revision)
+	}
+	if listed == nil && len(changes) == 0 {
+		return
+	}
+	c.take(now, v)
+	c.plan(now)
+	c.pollAll(now)
+}
+
+// pollAll polls the nodes that are due or have an older view.
+func (c *coordinator) pollAll(now clock.Instant) {
+	v := c.state.view.Load()
+	stamp := v.Stamp()
+	for host, t := range v.Targets {
+		n := c.members[host]
+		if n == nil {
+			n = &polledNode{Node: placement.Node{Answered: now}}
+			c.members[host] = n
+		}
+		if host == c.settings.Host {
+			n.Report, n.Answered = c.member.report(now), now
+			continue
+		}
+		if n.polling || now.Sub(n.sent) < pollInterval && n.stamp >= stamp {
+			continue
+		}
+		c.send(now, n, t, v, stamp)
+	}
+	for host := range c.members {
+		if v.Targets[host] == nil {
+			delete(c.members, host)
+		}
+	}
+}
+
+func (c *coordinator) send(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View, stamp uint64) {
+	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Round: c.round, Quarantine: c.quarantine}
+	if n.stamp < stamp {
+		p.View = v
+	}
+	n.polling, n.sent = true, now
+	round := c.round
+	c.background(func(ctx context.Context) func(clock.Instant) {
+		r, err := c.exchange(ctx, t.Relay, methodPoll, p.Encode())
+		return func(after clock.Instant) {
+			n.polling = false
+			if err != nil || !c.leads || c.round != round {
+				return
+			}
+			if r.Refused {
+				c.resign("a node knows a later coordinator")
+				return
+			}
+			n.stamp = r.Stamp
+			c.reported(after, r)
+		}
+	})
+}
+
+// reported takes a report, as the answer to a poll or between polls.
+func (c *coordinator) reported(now clock.Instant, r *fleet.Report) {
+	n := c.members[r.Host]
+	if !c.leads || n == nil {
+		return
+	}
+	n.Report, n.Answered = r, now
+	c.countCrashes(r)
+	if len(r.Released) > 0 {
+		c.plan(now)
+	}
+}
+
+// tell sends the node's own report to the coordinator between polls.
+func (c *coordinator) tell(r *fleet.Report) {
+	if c.leads {
+		c.reported(c.clock.Now(), r)
+		return
+	}
+	if c.leader.Relay == "" {
+		return
+	}
+	relay := c.leader.Relay
+	c.background(func(ctx context.Context) func(clock.Instant) {
+		_, err := c.exchange(ctx, relay, methodReport, r.Encode())
+		return func(clock.Instant) {
+			if err != nil {
+				c.log.Debug().Err(err).Msg("report was not taken; the next poll repeats it")
+			}
+		}
+	})
+}
+
+// plan writes what the placement wants changed.
+func (c *coordinator) plan(now clock.Instant) {
+	v, config := c.state.view.Load(), c.state.config.Load()
+	if config == nil {
+		return
+	}
+	in := &placement.Input{
+		Now: now, View: v, Nodes: map[string]*placement.Node{}, Revoked: c.revoked, Evacuated: map[string]bool{},
+		Keyed: map[string]bool{}, Began: c.began, Balanced: c.balanced,
+	}
+	for host, n := range c.members {
+		in.Nodes[host] = &n.Node
+	}
+	for zone := range *c.state.evacuated.Load() {
+		in.Evacuated[zone] = true
+	}
+	for name, s := range config.Services {
+		if s.Keyed && !c.writing[fleet.TableName(name)] {
+			in.Keyed[name] = true
+		}
+	}
+	c.noteRevoked(now, v)
+	p := placement.Make(in, placement.Options{LeaseTerm: leaseTerm, Silence: pollSilence, Gather: gatherTime})
+	for _, host := range p.Revoke {
+		c.revoke(now, v.Targets[host])
+	}
+	for service, change := range p.Tables {
+		c.writeTable(now, service, change)
+	}
+}
+
+// noteRevoked remembers since when terms have been seen revoked.
+func (c *coordinator) noteRevoked(now clock.Instant, v *fleet.View) {
+	for _, t := range v.Targets {
+		if _, seen := c.revoked[t.Owner()]; !seen && t.State == fleet.Revoked {
+			c.revoked[t.Owner()] = now
+		}
+	}
+}
+
+// revoke ends the term of a target whose node is silent.
+func (c *coordinator) revoke(now clock.Instant, t *fleet.Target) {
+	name := fleet.TargetName(t.Host)
+	if c.writing[name] {
+		return
+	}
+	n := c.members[t.Host]
+	line := event.TermRevoking.On(c.log).Str("host", t.Host).Uint64("term", t.Term).Str("silent", now.Sub(n.Answered).Round(time.Millisecond).String())
+	if n.Report != nil {
+		line.Int("lease_ms", int(n.Report.LeaseMs))
+	}
+	line.Send()
+	want := *t
+	want.State = fleet.Revoked
+	c.put(now, name, want.Encode(), t.Version, func(after clock.Instant, version uint64) {
+		want.Version = version
+		c.revoked[want.Owner()] = after
+		c.take(after, c.state.view.Load().With(&want))
+	})
+}
+
+func (c *coordinator) writeTable(now clock.Instant, service string, change *placement.Change) {
+	for i, m := range change.Moves {
+		if i == maxMoveLines {
+			break
+		}
+		event.RangeMoves.On(c.log).Str("service", service).Int("from", m.From).Int("to", m.To).Str("last", m.Last.Host).
+			Str("owner", m.Owner.Host).Str("reason", string(m.Reason)).Bool("warm", m.Warm).Send()
+	}
+	if change.Balance {
+		c.balanced[service] = now
+	}
+	change.Table.Join()
+	version := uint64(0)
+	if t := c.state.view.Load().Tables[service]; t != nil {
+		version = t.Version
+	}
+	c.put(now, fleet.TableName(service), change.Table.Encode(), version, func(after clock.Instant, version uint64) {
+		event.TableWritten.On(c.log).Str("service", service).Uint64("version", version).Int("rows", len(change.Table.Rows)).Int("moves", len(change.Moves)).Send()
+		c.metrics.moved(service, len(change.Moves))
+		v := c.state.view.Load().Clone()
+		if old := v.Tables[service]; old == nil || old.Version < version {
+			v.Tables[service] = &fleet.Table{Table: *change.Table, Version: version}
+			c.take(after, v)
+		}
+		c.pollAll(after)
+	})
+}
+
+// maxMoveLines bounds the lines for one table.
+const maxMoveLines = 40
+
+// put writes an object. After a conflict or a lost answer the watch shows the object as it is.
+func (c *coordinator) put(now clock.Instant, name string, value []byte, version uint64, done func(clock.Instant, uint64)) {
+	c.writing[name] = true
+	round := c.round
+	c.background(func(ctx context.Context) func(clock.Instant) {
+		written, err := c.store.Put(ctx, fleet.Kind, name, value, version)
+		var current store.Object
+		if err != nil {
+			event.TableRefused.On(c.log).Str("object", name).Err(err).Send()
+			current, _ = c.store.Get(ctx, fleet.Kind, name) // An error leaves the version 0, and the watch tells later.
+		}
+		return func(after clock.Instant) {
+			if !c.leads || c.round != round {
+				return
+			}
+			delete(c.writing, name)
+			if err == nil {
+				done(after, written)
+				return
+			}
+			if current.Version > 0 {
+				v := c.state.view.Load().Clone()
+				if err := v.Apply(store.Change{Object: current}); err == nil {
+					c.take(after, v)
+				}
+			}
+		}
+	})
+}
+
+// forget deletes the records of hosts that are gone.
+func (c *coordinator) forget(now clock.Instant) {
+	v := c.state.view.Load()
+	for host, t := range v.Targets {
+		n, name := c.members[host], fleet.TargetName(host)
+		if n == nil || now.Sub(n.Answered) < forgetAfter || t.State == fleet.Serving || c.writing[name] || owns(v, host) {
+			continue
+		}
+		c.writing[name] = true
+		version := t.Version
+		c.background(func(ctx context.Context) func(clock.Instant) {
+			err := c.store.Delete(ctx, fleet.Kind, name, version)
+			return func(clock.Instant) {
+				delete(c.writing, name)
+				if err == nil {
+					event.RecordDeleted.On(c.log).Str("host", host).Send()
+				}
+			}
+		})
+	}
+}
+
+func owns(v *fleet.View, host string) bool {
+	for _, t := range v.Tables {
+		for _, r := range t.Rows {
+			if r.Owner.Host == host || r.Next.Host == host {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// countCrashes quarantines requests that were running when targets ended.
+func (c *coordinator) countCrashes(r *fleet.Report) {
+	for fingerprint, count := range r.Crashes {
+		byHost := c.crashes[fingerprint]
+		if byHost == nil {
+			byHost = map[string]int{}
+			c.crashes[fingerprint] = byHost
+		}
+		byHost[r.Host] = count
+		total := 0
+		for _, n := range byHost {
+			total += n
+		}
+		if total >= crashLimit {
+			c.quarantineRequest(fingerprint, total)
+		}
+	}
+}
+
+func (c *coordinator) quarantineRequest(fingerprint uint64, crashes int) {
+	for _, f := range c.quarantine {
+		if f == fingerprint {
+			return
+		}
+	}
+	if len(c.quarantine) >= maxQuarantine {
+		c.quarantine = c.quarantine[1:]
+	}
+	c.quarantine = append(c.quarantine[:len(c.quarantine):len(c.quarantine)], fingerprint)
+	c.gate.setQuarantine(c.quarantine)
+	event.QuarantineBegan.On(c.log).Uint64("fingerprint", fingerprint).Int("crashes", crashes).Send()
+}
--- /dev/null
+++ b/internal/sidecar/listen.go
@@ -0,0 +1,171 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// readHeaderTimeout bounds how long a caller may take to send a request's headers.
+	readHeaderTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a request's headers; the platform's callers stay within 16 KiB.
+	maxHeaderBytes = 64 << 10
+	// defaultIdle is how long a caller's connection may be idle before a configuration says so.
+	defaultIdle = 60 * time.Second
+	// idleSweep is how often idle connections are looked at.
+	idleSweep = 500 * time.Millisecond
+)
+
+// sniffListener wraps connections in sniffConn.
+type sniffListener struct{ net.Listener }
+
+// Accept returns the next connection.
+func (l sniffListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &sniffConn{Conn: c}, nil
+}
+
+// sniffConn notices requests that state their length in two ways, which net/http accepts and hides. Such a request may
+// carry another one in its body.
+type sniffConn struct {
+	net.Conn
+	// header holds the start of a header block that is not whole yet.
+	header    []byte
+	ambiguous atomic.Bool
+}
+
+// Read reads and looks for header blocks with both lengths.
+func (c *sniffConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.ambiguous.Load() {
+		c.look(p[:n])
+	}
+	return n, err
+}
+
+var (
+	encodingName = []byte("\ntransfer-encoding:")
+	lengthName   = []byte("\ncontent-length:")
+	blockEnd     = []byte("\r\n\r\n")
+)
+
+// look searches the data for a header block with both names. A body that looks like one is refused as well.
+func (c *sniffConn) look(data []byte) {
+	if len(c.header) > 0 {
+		data = append(c.header, data...)
+		c.header = nil
+	}
+	for len(data) > 0 {
+		end := bytes.Index(data, blockEnd)
+		block := data
+		if end >= 0 {
+			block = data[:end]
+		}
+		if hasName(block, encodingName) && hasName(block, lengthName) {
+			c.ambiguous.Store(true)
+			return
+		}
+		if end < 0 {
+			if len(data) <= maxHeaderBytes && (hasName(block, encodingName) || hasName(block, lengthName)) {
+				c.header = append([]byte(nil), data...)
+			} else if tail := len(data) - len(encodingName); tail > 0 {
+				c.header = append([]byte(nil), data[tail:]...)
+			} else {
+				c.header = append([]byte(nil), data...)
+			}
+			return
+		}
+		data = data[end+len(blockEnd):]
+	}
+}
+
+// hasName reports whether the block has a header of the name, in any case of letters.
+func hasName(block, name []byte) bool {
+	for i := 0; i+len(name) <= len(block); i++ {
+		next := bytes.IndexByte(block[i:], '\n')
+		if next < 0 || i+next+len(name) > len(block) {
+			return false
+		}
+		i += next
+		if bytes.EqualFold(block[i:i+len(name)], name) {
+			return true
+		}
+	}
+	return false
+}
+
+type sniffKey struct{}
+
+// withConn makes the connection known to the handlers.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, sniffKey{}, c)
+}
+
+// ambiguous reports whether a request of the connection stated its length in two ways.
+func ambiguous(ctx context.Context) bool {
+	c, ok := ctx.Value(sniffKey{}).(*sniffConn)
+	return ok && c.ambiguous.Load()
+}
+
+// idleConns closes callers' connections that are idle for longer than the configuration allows.
+type idleConns struct {
+	max   atomic.Int64
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+func newIdleConns() *idleConns {
+	i := &idleConns{since: map[net.Conn]time.Time{}}
+	i.max.Store(int64(defaultIdle))
+	return i
+}
+
+// limit sets how long a connection may be idle.
+func (i *idleConns) limit(d time.Duration) {
+	if d > 0 {
+		i.max.Store(int64(d))
+	}
+}
+
+// observe follows the state of a connection.
+func (i *idleConns) observe(c net.Conn, s http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if s == http.StateIdle {
+		i.since[c] = time.Now()
+	} else {
+		delete(i.since, c)
+	}
+}
+
+// run closes connections that are idle for too long.
+func (i *idleConns) run(ctx context.Context) {
+	for sleep(ctx, idleSweep) {
+		limit := time.Now().Add(-time.Duration(i.max.Load()))
+		var old []net.Conn
+		i.mu.Lock()
+		for c, since := range i.since {
+			if since.Before(limit) {
+				old = append(old, c)
+				delete(i.since, c)
+			}
+		}
+		i.mu.Unlock()
+		for _, c := range old {
+			_ = c.Close() // Nothing is outstanding on it.
+		}
+	}
+}
+
+// serverFor returns a server with the bounds that all of the node's addresses share.
+func serverFor(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withConn}
+}
--- /dev/null
+++ b/internal/sidecar/metrics.go
@@ -0,0 +1,110 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/citronvane/citronvane/internal/errs"
+	"github.com/citronvane/citronvane/internal/upstream"
+)
+
+// latencyBounds are the buckets of the latency histograms in seconds, around the objectives of 0.1 to 1.2 s.
+var latencyBounds = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8}
+
+// metrics counts the node's decisions. Labels take values from fixed sets and from the configuration's routes.
+type metrics struct {
+	registry *prometheus.Registry
+	provider *sdk.MeterProvider
+	storeUp  atomic.Bool
+
+	requests, refusals, calls, beats, moves, repeats metric.Int64Counter
+	latency, runs                                    metric.Float64Histogram
+}
+
+func newMetrics() (*metrics, error) {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	m.storeUp.Store(true)
+	reader, err := exporter.New(exporter.WithRegisterer(m.registry), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Internal, "Report this fault.", "metrics")
+	}
+	m.provider = sdk.NewMeterProvider(sdk.WithReader(reader))
+	meter := m.provider.Meter("citronvane/sidecar")
+	var failed []error
+	counter := func(name, description string) metric.Int64Counter {
+		c, err := meter.Int64Counter(name, metric.WithDescription(description))
+		failed = append(failed, err)
+		return c
+	}
+	histogram := func(name, description string) metric.Float64Histogram {
+		h, err := meter.Float64Histogram(name, metric.WithDescription(description), metric.WithUnit("s"),
+			metric.WithExplicitBucketBoundaries(latencyBounds...))
+		failed = append(failed, err)
+		return h
+	}
+	m.requests = counter("citronvane.requests", "requests by route and outcome")
+	m.refusals = counter("citronvane.refusals", "requests that were refused without having run, by place and reason")
+	m.calls = counter("citronvane.store.calls", "calls to the store by call and outcome")
+	m.beats = counter("citronvane.heartbeats", "heartbeats of the target by outcome")
+	m.moves = counter("citronvane.ranges.moved", "changes of ranges written by this node, by service")
+	m.repeats = counter("citronvane.repeats", "requests sent once more, by reason")
+	m.latency = histogram("citronvane.request.duration", "time from the request to its answer at the entrance")
+	m.runs = histogram("citronvane.run.duration", "time that the host's target took")
+	return m, errors.Join(failed...)
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func label(key, value string) attribute.KeyValue { return attribute.String(key, value) }
+
+func (m *metrics) request(route, outcome string, took time.Duration) {
+	ctx := context.Background()
+	m.requests.Add(ctx, 1, metric.WithAttributes(label("route", route), label("outcome", outcome)))
+	m.latency.Record(ctx, took.Seconds())
+}
+
+func (m *metrics) refused(place, reason string) {
+	m.refusals.Add(context.Background(), 1, metric.WithAttributes(label("place", place), label("reason", reason)))
+}
+
+func (m *metrics) storeCall(call, outcome string) {
+	m.calls.Add(context.Background(), 1, metric.WithAttributes(label("call", call), label("outcome", outcome)))
+}
+
+func (m *metrics) heartbeats(outcome string) {
+	m.beats.Add(context.Background(), 1, metric.WithAttributes(label("outcome", outcome)))
+}
+
+func (m *metrics) moved(service string, n int) {
+	m.moves.Add(context.Background(), int64(n), metric.WithAttributes(label("service", service)))
+}
+
+func (m *metrics) repeated(reason string) {
+	m.repeats.Add(context.Background(), 1, metric.WithAttributes(label("reason", reason)))
+}
+
+func (m *metrics) run(_ string, took time.Duration, err error) {
+	outcome := "answered"
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		outcome = "not_sent"
+	case errors.Is(err, upstream.ErrBroken):
+		outcome = "broken"
+	case err != nil:
+		outcome = "left"
+	}
+	m.runs.Record(context.Background(), took.Seconds(), metric.WithAttributes(label("outcome", outcome)))
+}
--- /dev/null
+++ b/internal/sidecar/state.go
@@ -0,0 +1,119 @@
+// Package sidecar is the process of citronvane beside one target on the users' platform. One goroutine owns the control
+// state (member.go, coordinator.go) and publishes immutable snapshots, which traffic reads without locks.
+package sidecar
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/ingress"
+	"github.com/citronvane/citronvane/internal/keyspace"
+)
+
+// Durations of the node. docs/settings.md lists them with their sources.
+const (
+	// leaseTerm is how long after a lease check grants may last: an outage of the store of leaseTerm less
+	// checkInterval goes unnoticed, and a silent host is taken over after leaseTerm.
+	leaseTerm = 8 * time.Second
+	// usualHold bridges the restart of a node (about 1 s) and two lost heartbeats.
+	usualHold = 3500 * time.Millisecond
+	// checkInterval is the time between two lease checks.
+	checkInterval = 2 * time.Second
+	// controlTick is how often time-driven decisions are made.
+	controlTick = 250 * time.Millisecond
+	// pollInterval is the time between two polls of a node.
+	pollInterval = time.Second
+	// pollTimeout bounds a poll.
+	pollTimeout = 800 * time.Millisecond
+	// pollSilence is how long a node may leave polls unanswered before its term is revoked.
+	pollSilence = 1800 * time.Millisecond
+	// leadSilence is how long a node goes without a poll before it tries to become the coordinator.
+	leadSilence = 2500 * time.Millisecond
+	// leadSpread is the random part added to leadSilence, so that nodes try one after the other.
+	leadSpread = 800 * time.Millisecond
+	// gatherTime is how long the first assignment waits for targets to register.
+	gatherTime = 1500 * time.Millisecond
+	// watchWait is how long a watch of the operator's objects waits; the platform bounds it to 30 s.
+	watchWait = 20 * time.Second
+	// leadWatchWait is the same for the coordinator, which notices a silent connection sooner.
+	leadWatchWait = 5 * time.Second
+	// storeRetry is the pause after a failed call.
+	storeRetry = 300 * time.Millisecond
+)
+
+// own is what traffic knows of the host's own target.
+type own struct {
+	instance string
+	// serving says that the target may get requests.
+	serving bool
+	// why says why not.
+	why string
+	// rows are granted until the instant.
+	rows  []keyspace.Row
+	until clock.Instant
+	// nextBeat is when the next heartbeat is expected, which is when a new row can be granted.
+	nextBeat clock.Instant
+}
+
+// grants reports whether the target holds the key.
+func (o *own) grants(now clock.Instant, key int) bool {
+	if now >= o.until {
+		return false
+	}
+	for _, r := range o.rows {
+		if r.Contains(key) {
+			return true
+		}
+	}
+	return false
+}
+
+// state holds the snapshots that traffic reads.
+type state struct {
+	view      atomic.Pointer[fleet.View]
+	config    atomic.Pointer[ingress.Config]
+	evacuated atomic.Pointer[map[string]clock.Instant]
+	own       atomic.Pointer[own]
+	draining  atomic.Bool
+	listed    atomic.Bool
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+func newState() *state {
+	s := &state{changed: make(chan struct{})}
+	s.view.Store(fleet.NewView())
+	s.evacuated.Store(&map[string]clock.Instant{})
+	s.own.Store(&own{why: "the target has not reported yet"})
+	return s
+}
+
+// waiting returns a channel that is closed at the next change of the view or of the own target.
+func (s *state) waiting() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// notify wakes those who wait for a change.
+func (s *state) notify() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ready reports whether the node takes callers.
+func (s *state) ready() bool {
+	return s.config.Load() != nil && s.listed.Load() && !s.draining.Load()
+}
+
+// zoneOut returns since when the zone is out of service.
+func (s *state) zoneOut(zone string) (clock.Instant, bool) {
+	since, out := (*s.evacuated.Load())[zone]
+	return since, out
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -40,3 +40,20 @@
 	// the changes and the revision to continue from, or an error of kind Compacted.
 	Watch(ctx context.Context, since uint64, wait time.Duration) ([]Change, uint64, error)
 }
+
+// Objects reads and writes the objects of a store that lists and watches by kind. Errors carry the same kinds as
+// those of Store.
+type Objects interface {
+	// Get returns one object as it is now, or an error of kind NotFound.
+	Get(ctx context.Context, kind, name string) (Object, error)
+	// List returns the objects of a kind and the revision that the list reflects.
+	List(ctx context.Context, kind string) ([]Object, uint64, error)
+	// Put writes a value if the object's version is expect; 0 means that it must not exist.
+	// It returns the new version, or an error of kind Conflict.
+	Put(ctx context.Context, kind, name string, value []byte, expect uint64) (uint64, error)
+	// Delete removes an object if its version is expect.
+	Delete(ctx context.Context, kind, name string, expect uint64) error
+	// Watch waits until objects of the kind change after the revision or the wait is over. It returns the changes
+	// and the revision to continue from, or an error of kind Compacted.
+	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) ([]Change, uint64, error)
+}
--- /dev/null
+++ b/internal/tenure/tenure_test.go
@@ -0,0 +1,144 @@
+package tenure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/keyspace"
+)
+
+var (
+	options = Options{LeaseTerm: 8 * time.Second, Hold: 3500 * time.Millisecond}
+	self    = keyspace.Owner{Host: "a", Term: 3}
+	other   = keyspace.Owner{Host: "b", Term: 1}
+)
+
+func at(seconds float64) clock.Instant {
+	return clock.Instant(100 * time.Second).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func beat(sequence uint64, holds ...Held) *Heartbeat {
+	return &Heartbeat{Instance: "i-1", Born: 77, Sequence: sequence, Holds: holds}
+}
+
+func row(from, to int, owner, next keyspace.Owner) keyspace.Row {
+	return keyspace.Row{Range: keyspace.Range{From: from, To: to}, Owner: owner, Fence: 5, Next: next}
+}
+
+func started() *Holder {
+	h := NewHolder(options)
+	h.Begin(at(0), self, 77, at(0))
+	return h
+}
+
+func TestGrantNamesOnlyOwnRows(t *testing.T) {
+	h := started()
+	h.Heard(at(1), beat(1))
+	g := h.Grant(at(1), []keyspace.Row{
+		row(0, 9, self, keyspace.Owner{}),
+		row(10, 19, other, keyspace.Owner{}),
+		row(20, 29, self, other),
+		row(30, 39, keyspace.Owner{Host: "a", Term: 2}, keyspace.Owner{}),
+	})
+	require.True(t, g.Renew)
+	require.Len(t, g.Rows, 1)
+	require.Equal(t, 0, g.Rows[0].From)
+}
+
+// Guards against a hold that outlasts the proof that the term was not revoked.
+func TestHoldEndsWithinTheLeaseTerm(t *testing.T) {
+	for _, now := range []float64{0, 1, 4, 5, 6, 7, 7.8, 7.95, 9, 20} {
+		h := started()
+		h.Heard(at(now), beat(1))
+		g := h.Grant(at(now), []keyspace.Row{row(0, 9, self, keyspace.Owner{})})
+		longest := time.Duration(float64(g.Hold) * 1.02) // The target's clock may be slow.
+		require.LessOrEqual(t, at(now).Add(longest), max(at(now), at(0).Add(options.LeaseTerm)), "at %v", now)
+		if !g.Renew {
+			require.Empty(t, g.Rows)
+		}
+	}
+}
+
+func TestRevokedTermReleasesEverything(t *testing.T) {
+	h := started()
+	h.Heard(at(0), beat(1))
+	rows := []keyspace.Row{row(0, 9, self, keyspace.Owner{})}
+	require.Len(t, h.Grant(at(0), rows).Rows, 1)
+	h.Revoke()
+	h.Check(self, at(1)) // A late answer does not restore a revoked term.
+	h.Heard(at(1), beat(2, Held{keyspace.Range{From: 0, To: 9}, 5}))
+	require.Equal(t, Grant{Renew: true}, h.Grant(at(1), rows))
+	require.False(t, h.Ended(at(1)))
+	require.Empty(t, h.Released(at(1), rows))
+	h.Heard(at(1.1), beat(3))
+	require.True(t, h.Ended(at(1.1)))
+	require.Len(t, h.Released(at(1.1), rows), 1)
+}
+
+// Guards against a move that begins before the last holder is done.
+func TestMovedRowIsReleasedOnlyAfterTheTargetSaysSo(t *testing.T) {
+	h := started()
+	moving := []keyspace.Row{row(0, 9, self, other)}
+	h.Heard(at(0), beat(1))
+	h.Grant(at(0), []keyspace.Row{row(0, 9, self, keyspace.Owner{})})
+	require.Empty(t, h.Released(at(0.1), moving), "granted, and no heartbeat since")
+	h.Heard(at(0.9), beat(2, Held{keyspace.Range{From: 0, To: 9}, 5}))
+	require.Empty(t, h.Released(at(0.9), moving))
+	require.Empty(t, h.Grant(at(0.9), moving).Rows)
+	require.Empty(t, h.Released(at(0.95), moving), "the target still works on it")
+	next := beat(3)
+	next.Released = []fleet.Release{{Range: keyspace.Range{From: 0, To: 9}, Handover: "token"}}
+	h.Heard(at(1), next)
+	released := h.Released(at(1), moving)
+	require.Len(t, released, 1)
+	require.Equal(t, "token", released[0].Handover)
+}
+
+func TestHoldThatRanOutIsReleased(t *testing.T) {
+	h := started()
+	moving := []keyspace.Row{row(0, 9, self, other)}
+	h.Heard(at(0), beat(1, Held{keyspace.Range{From: 0, To: 9}, 5}))
+	h.Grant(at(0), []keyspace.Row{row(0, 9, self, keyspace.Owner{})})
+	require.Empty(t, h.Released(at(3.5), moving))
+	require.Len(t, h.Released(at(3.65), moving), 1, "the hold of an earlier process, 2% slow clock and the margin are over")
+}
+
+// Guards against a restarted node that forgets what the earlier process granted.
+func TestContinuedTermCountsEarlierGrants(t *testing.T) {
+	h := started()
+	moving := []keyspace.Row{row(0, 9, self, other)}
+	require.Empty(t, h.Released(at(0.1), moving), "no heartbeat yet")
+	h.Heard(at(0.2), beat(9, Held{keyspace.Range{From: 0, To: 9}, 5}))
+	require.Empty(t, h.Released(at(0.2), moving))
+	h.Heard(at(0.4), beat(10))
+	require.Len(t, h.Released(at(0.4), moving), 1)
+}
+
+func TestStaleHeartbeats(t *testing.T) {
+	h := started()
+	h.Heard(at(0), beat(4))
+	require.True(t, h.Stale(at(1), beat(4)))
+	require.True(t, h.Stale(at(1), beat(3)))
+	require.False(t, h.Stale(at(1), beat(5)))
+	require.True(t, h.Stale(at(1), &Heartbeat{Instance: "i-0", Born: 76, Sequence: 99}), "a late one of an earlier life")
+	require.False(t, h.Stale(at(1), &Heartbeat{Instance: "i-1", Born: 78, Sequence: 1}), "a new life under the old identity")
+	require.False(t, h.Stale(at(6), &Heartbeat{Instance: "i-2", Born: 70, Sequence: 1}), "a new life after the clock went back")
+}
+
+func TestUnknownLifeGetsNothing(t *testing.T) {
+	h := started()
+	h.Heard(at(0), &Heartbeat{Instance: "i-2", Born: 78, Sequence: 1})
+	require.Equal(t, Grant{}, h.Grant(at(0), []keyspace.Row{row(0, 9, self, keyspace.Owner{})}))
+}
+
+func TestLeavingTargetReleasesEverything(t *testing.T) {
+	h := started()
+	b := beat(1)
+	b.Draining = true
+	h.Heard(at(0), b)
+	require.Equal(t, Grant{Renew: true}, h.Grant(at(0), []keyspace.Row{row(0, 9, self, keyspace.Owner{})}))
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,342 @@
+// Package upstream speaks HTTP/1.1 to the target on the same host: one request at a time on a connection, answers
+// matched by identity, never by order. It says whether a failed request may have run.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the attempt to connect. The target runs on the same host, where that takes about 1 ms.
+	dialTimeout = 500 * time.Millisecond
+	// maxIdle is how long a connection is kept for the next request. The platform's targets close theirs after 10 s.
+	maxIdle = 4 * time.Second
+	// maxIdleOnce is the same for requests that can't be repeated, since a target may forget an idle connection.
+	maxIdleOnce = 250 * time.Millisecond
+	// maxStray is the number of answers to other requests that are skipped on a connection.
+	maxStray = 3
+	// MaxBuffered is the size up to which an answer is read whole before it goes on.
+	MaxBuffered = 1 << 20
+	readBuffer  = 8 << 10
+)
+
+// Errors of Do.
+var (
+	// ErrNotSent means that the target certainly did not get the request.
+	ErrNotSent = errors.New("request was not sent to the target")
+	// ErrRefused means that nothing listens on the target's address. It comes with ErrNotSent.
+	ErrRefused = errors.New("the target refuses connections")
+	// ErrBroken means that the connection ended, or spoke no HTTP, before the answer was whole.
+	ErrBroken = errors.New("the target broke off")
+)
+
+// Request is a request for the target.
+type Request struct {
+	Method string
+	// Path includes the query.
+	Path   string
+	Header http.Header
+	Host   string
+	// Body is sent whole; Stream is set instead for a body that is still arriving.
+	Body   []byte
+	Stream io.Reader
+	// Length is the length of Stream, -1 if unknown.
+	Length int64
+	// Once says that the request can't be repeated, so that only a connection that was just in use is used again.
+	Once bool
+	// Belongs reports whether an answer's headers belong to the request.
+	Belongs func(http.Header) bool
+}
+
+// Answer is the target's answer. Body is set if it was read whole; otherwise Rest has to be read and closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Rest   io.ReadCloser
+	// Length of Rest, -1 if unknown.
+	Length int64
+}
+
+// Client holds the connections to one target.
+type Client struct {
+	address string
+	mu      sync.Mutex
+	idle    []*conn
+	closed  bool
+}
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	since  time.Time
+	used   bool
+}
+
+// NewClient returns a client for the target's address.
+func NewClient(address string) *Client { return &Client{address: address} }
+
+// Reset closes all idle connections, because the target has ended.
+func (c *Client) Reset() {
+	c.mu.Lock()
+	idle := c.idle
+	c.idle = nil
+	c.mu.Unlock()
+	for _, k := range idle {
+		_ = k.Close() // Nothing was outstanding on it.
+	}
+}
+
+// Alive reports whether something listens on the target's address. Only a refused connection proves the contrary;
+// other failures are returned.
+func (c *Client) Alive(ctx context.Context) (bool, error) {
+	k, err := c.dial(ctx)
+	if err == nil {
+		c.put(k)
+		return true, nil
+	}
+	if errors.Is(err, ErrRefused) {
+		return false, nil
+	}
+	return true, err
+}
+
+func (c *Client) get(ctx context.Context, once bool) (*conn, error) {
+	limit := maxIdle
+	if once {
+		limit = maxIdleOnce
+	}
+	now := time.Now()
+	c.mu.Lock()
+	for len(c.idle) > 0 {
+		k := c.idle[len(c.idle)-1]
+		if now.Sub(k.since) > limit {
+			break
+		}
+		c.idle = c.idle[:len(c.idle)-1]
+		c.mu.Unlock()
+		k.used = true
+		return k, nil
+	}
+	var old []*conn
+	for len(c.idle) > 0 && now.Sub(c.idle[0].since) > maxIdle {
+		old = append(old, c.idle[0])
+		c.idle = c.idle[1:]
+	}
+	c.mu.Unlock()
+	for _, k := range old {
+		_ = k.Close() // Nothing was outstanding on it.
+	}
+	return c.dial(ctx)
+}
+
+func (c *Client) dial(ctx context.Context) (*conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	raw, err := d.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		if isRefused(err) {
+			err = fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), since: time.Now()}, nil
+}
+
+func (c *Client) put(k *conn) {
+	k.since = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = append(c.idle, k)
+}
+
+// Do sends the request and returns the answer that belongs to it. When the context ends, the connection is closed,
+// so that the target drops the request.
+func (c *Client) Do(ctx context.Context, r *Request) (*Answer, error) {
+	k, err := c.get(ctx, r.Once)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = k.Close() }) // Unblocks reads and writes.
+	a, reuse, err := k.exchange(r)
+	if err != nil {
+		stop()
+		_ = k.Close() // Its state is unknown.
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
+		}
+		return nil, err
+	}
+	if a.Rest != nil {
+		a.Rest = &rest{a.Rest, func() { stop(); _ = k.Close() }} // A streamed answer is the last one of its connection.
+		return a, nil
+	}
+	if stop() && reuse {
+		c.put(k)
+	} else {
+		_ = k.Close() // The answer is whole.
+	}
+	return a, nil
+}
+
+// rest closes the connection after a streamed answer.
+type rest struct {
+	io.ReadCloser
+	close func()
+}
+
+func (r *rest) Close() error {
+	r.close()
+	return nil
+}
+
+// exchange sends the request and reads its answer. reuse says that the connection may carry another request.
+func (k *conn) exchange(r *Request) (a *Answer, reuse bool, err error) {
+	written := make(chan error, 1)
+	if r.Stream == nil {
+		_, err := k.Write(r.head(r.Body))
+		if err != nil {
+			return nil, false, fmt.Errorf("%w: %w", ErrBroken, err)
+		}
+		written <- nil
+	} else {
+		go func() { written <- r.stream(k) }()
+	}
+	for range maxStray {
+		a, keep, belongs, err := k.read(r)
+		if err != nil {
+			return nil, false, err
+		}
+		if !belongs {
+			if !keep {
+				break
+			}
+			continue
+		}
+		select {
+		case err := <-written:
+			return a, keep && err == nil && k.reader.Buffered() == 0, nil
+		default:
+			return a, false, nil // The rest of the body is not due any more on this connection.
+		}
+	}
+	return nil, false, fmt.Errorf("%w: answers belong to other requests", ErrBroken)
+}
+
+// read reads one answer.
+func (k *conn) read(r *Request) (a *Answer, keep, belongs bool, err error) {
+	response, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
+	if err != nil {
+		return nil, false, false, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	keep = !response.Close
+	a = &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+	belongs = r.Belongs(response.Header)
+	if belongs && response.ContentLength > MaxBuffered {
+		a.Rest = response.Body
+		return a, false, true, nil
+	}
+	body, err := readAll(response.Body, response.ContentLength)
+	if errors.Is(err, errLarge) {
+		if !belongs {
+			return nil, false, false, fmt.Errorf("%w: a large answer belongs to another request", ErrBroken)
+		}
+		a.Rest, a.Length = io.NopCloser(io.MultiReader(strings.NewReader(string(body)), response.Body)), -1
+		return a, false, true, nil
+	}
+	if err != nil {
+		return nil, false, belongs, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	a.Body, a.Length = body, int64(len(body))
+	return a, keep, belongs, nil
+}
+
+var errLarge = errors.New("the answer is large")
+
+// readAll reads a body of up to MaxBuffered bytes. With errLarge it returns what it has read.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	if length >= 0 {
+		data := make([]byte, length)
+		_, err := io.ReadFull(body, data)
+		return data, err
+	}
+	data, err := io.ReadAll(io.LimitReader(body, MaxBuffered+1))
+	if err == nil && len(data) > MaxBuffered {
+		err = errLarge
+	}
+	return data, err
+}
+
+// head returns the request line, the headers and the body.
+func (r *Request) head(body []byte) []byte {
+	buffer := make([]byte, 0, 512+len(body))
+	buffer = append(buffer, r.Method...)
+	buffer = append(buffer, ' ')
+	buffer = append(buffer, r.Path...)
+	buffer = append(buffer, " HTTP/1.1\r\nHost: "...)
+	buffer = append(buffer, r.Host...)
+	buffer = append(buffer, "\r\n"...)
+	for name, values := range r.Header {
+		for _, value := range values {
+			buffer = append(buffer, name...)
+			buffer = append(buffer, ": "...)
+			buffer = append(buffer, value...)
+			buffer = append(buffer, "\r\n"...)
+		}
+	}
+	switch {
+	case r.Stream != nil && r.Length < 0:
+		buffer = append(buffer, "Transfer-Encoding: chunked\r\n"...)
+	case r.Stream != nil:
+		buffer = appendLength(buffer, r.Length)
+	case len(body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead:
+		buffer = appendLength(buffer, int64(len(body)))
+	}
+	buffer = append(buffer, "\r\n"...)
+	return append(buffer, body...)
+}
+
+func appendLength(buffer []byte, n int64) []byte {
+	buffer = append(buffer, "Content-Length: "...)
+	buffer = strconv.AppendInt(buffer, n, 10)
+	return append(buffer, "\r\n"...)
+}
+
+// stream sends the request with a body that is still arriving.
+func (r *Request) stream(w io.Writer) error {
+	if _, err := w.Write(r.head(nil)); err != nil {
+		return err
+	}
+	if r.Length >= 0 {
+		n, err := io.Copy(w, r.Stream)
+		if err == nil && n != r.Length {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := r.Stream.Read(buffer)
+		if n > 0 {
+			if _, werr := fmt.Fprintf(w, "%x\r\n%s\r\n", n, buffer[:n]); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_, err = io.WriteString(w, "0\r\n\r\n")
+			return err
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
