--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -22,6 +22,8 @@
 	usualShare = 0.3
 	// coldHeadroom is how far above its stated rate a cold target is used. The platform's rules bear 1.5.
 	coldHeadroom = 1.2
+	// unknownColdRate is the rate before the configuration is known; the platform's services bear 16 and more.
+	unknownColdRate = 10
 	// coldBurst is how many requests a cold target may get at once.
 	coldBurst = 3
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may come back.
@@ -97,20 +99,24 @@
 
 // NewCore returns the state for a target with so many slots.
 func NewCore(slots int) *Core {
-	return &Core{slots: max(1, slots), times: map[string]float64{}}
+	return &Core{slots: max(1, slots), times: map[string]float64{}, coldRate: unknownColdRate}
 }
 
 // SetSlots changes the number of slots.
 func (c *Core) SetSlots(slots int) { c.slots = max(1, slots) }
 
-// SetCold says until when the target is cold and how many requests a second it bears.
-func (c *Core) SetCold(now, until clock.Instant, perSecond float64) {
+// SetCold says until when the target is cold.
+func (c *Core) SetCold(now, until clock.Instant) {
 	if now >= c.coldUntil && until > now {
 		c.tokens, c.refilled = coldBurst, now
 	}
-	c.coldUntil, c.coldRate = until, perSecond*coldHeadroom
+	c.coldUntil = until
 }
 
+// SetColdRate says how many requests a second the target bears while it is cold. Before the first call it gets
+// unknownColdRate.
+func (c *Core) SetColdRate(perSecond float64) { c.coldRate = perSecond * coldHeadroom }
+
 // Reset forgets what runs, because the target has ended.
 func (c *Core) Reset() { c.running = 0 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -53,7 +53,8 @@
 func TestColdTargetIsPaced(t *testing.T) {
 	const perSecond = 28
 	c := NewCore(18)
-	c.SetCold(at(0), at(3000), perSecond)
+	c.SetColdRate(perSecond)
+	c.SetCold(at(0), at(3000))
 	var starts []float64
 	for ms := 0.0; ms < 3000; ms++ {
 		ticket, _ := c.Arrive(at(ms), request("r", 1, at(ms), 500*time.Millisecond, time.Second))
@@ -77,6 +78,23 @@
 	require.Greater(t, len(starts), 3*perSecond)
 }
 
+// Guards against a cold target that is not paced because its first heartbeat came before the configuration.
+func TestColdTargetIsPacedBeforeTheRateIsKnown(t *testing.T) {
+	c := NewCore(18)
+	c.SetCold(at(0), at(3000))
+	starts := 0
+	for ms := 0.0; ms < 1000; ms++ {
+		_, _ = c.Arrive(at(ms), request("r", 1, at(ms), 500*time.Millisecond, time.Second))
+		for _, started := range c.Poll(at(ms)) {
+			if started.refused == nil {
+				starts++
+				c.Done(at(ms), started, false)
+			}
+		}
+	}
+	require.LessOrEqual(t, starts, 16)
+}
+
 func TestControllerCancelsAndReleases(t *testing.T) {
 	c := NewController(clock.Boot{}, 1)
 	now := clock.Boot{}.Now()
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -13,6 +13,11 @@
 	// Relay is the coordinator's address for reports between polls.
 	Relay string `json:"relay"`
 	Round uint64 `json:"round"`
+	// Config is the store's version of the configuration that the coordinator read last.
+	Config uint64 `json:"config,omitempty"`
+	// Evacuated lists the zones that were out of service at EvacuatedAt, a revision of the store.
+	Evacuated   []string `json:"evacuated,omitempty"`
+	EvacuatedAt uint64   `json:"evacuated_at,omitempty"`
 	// View is set if the node's own is older.
 	View *View `json:"view,omitempty"`
 	// Quarantine lists the fingerprints of requests that crash targets.
@@ -26,6 +31,8 @@
 	Stamp uint64 `json:"stamp"`
 	// Refused says that the node knows a later coordinator.
 	Refused bool `json:"refused,omitempty"`
+	// Record is the host's record as its node knows it.
+	Record *Target `json:"record,omitempty"`
 	// LeaseMs is how long the node may go on granting without another check, in milliseconds.
 	LeaseMs int64 `json:"lease_ms"`
 	// ColdMs is how long the target stays cold, in milliseconds.
--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -10,8 +10,9 @@
 const (
 	// budgetBuckets is the number of parts of the window.
 	budgetBuckets = 10
-	// ownShare is the part of the allowance that this node uses of its share, since nodes see unequal loads.
-	ownShare = 0.7
+	// ownShare is the part of the allowance that is used: nodes see unequal loads, and the calls that a repeated run
+	// makes count as repeats at the service that is called.
+	ownShare = 0.45
 )
 
 // Budget bounds how often a node sends requests of one service a second time, so that all nodes together stay within
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/citronvane/citronvane/internal/keyspace"
 	"github.com/citronvane/citronvane/internal/placement"
 	"github.com/citronvane/citronvane/internal/store"
+	"github.com/citronvane/citronvane/platform"
 )
 
 const (
@@ -35,6 +36,8 @@
 	polled clock.Instant
 	leader fleet.Poll
 	spread time.Duration
+	// fetched is when the node last read the configuration by itself.
+	fetched clock.Instant
 
 	leads   bool
 	busy    bool // a call about the lead is under way
@@ -57,6 +60,8 @@
 	polling bool
 	sent    clock.Instant
 	stamp   uint64
+	// operator is the newest revision of the operator's objects that a poll named.
+	operator uint64
 }
 
 func newCoordinator(n *node) *coordinator {
@@ -80,9 +85,42 @@
 		c.take(now, c.state.view.Load().Merge(p.View))
 	}
 	c.gate.setQuarantine(p.Quarantine)
+	c.hear(p)
 	return c.member.report(now)
 }
 
+// hear takes what the poll says of the operator's objects.
+func (c *coordinator) hear(p *fleet.Poll) {
+	if p.Config > c.state.configAt.Load() {
+		c.background(func(ctx context.Context) func(clock.Instant) {
+			c.fetchConfig(ctx)
+			return func(clock.Instant) {}
+		})
+	}
+	if p.EvacuatedAt > c.state.evacuatedAt.Load() {
+		zones := make([]store.Change, len(p.Evacuated))
+		for i, zone := range p.Evacuated {
+			zones[i].Name = zone
+		}
+		c.applyEvacuations(zones, p.EvacuatedAt, true)
+	}
+}
+
+// refresh reads the operator's objects while this node leads, because a watch may miss changes.
+func (c *coordinator) refresh(ctx context.Context) {
+	for sleep(ctx, refreshInterval) {
+		c.fetchConfig(ctx)
+		if changes, revision, err := c.listKind(ctx, platform.EvacuationKind); err == nil {
+			c.applyEvacuations(changes, revision, true)
+		}
+		c.post(func(now clock.Instant) {
+			if c.leads {
+				c.pollAll(now)
+			}
+		})
+	}
+}
+
 // take puts a newer view in force at this node.
 func (c *coordinator) take(now clock.Instant, v *fleet.View) {
 	c.state.view.Store(v)
@@ -104,6 +142,13 @@
 		if now.Sub(c.polled) > leadSilence+c.spread && !c.busy && !c.state.draining.Load() {
 			c.campaign(now)
 		}
+		if now.Sub(c.polled) > unpolled && now.Sub(c.fetched) > refreshInterval {
+			c.fetched = now
+			c.background(func(ctx context.Context) func(clock.Instant) {
+				c.fetchConfig(ctx)
+				return func(clock.Instant) {}
+			})
+		}
 		return
 	}
 	if now.Sub(c.heard) > ownOutage+leadWatchWait {
@@ -180,6 +225,7 @@
 	event.LeadTaken.On(c.log).Uint64("round", round).Uint64("revision", v.Revision).Send()
 	c.take(now, c.state.view.Load().Merge(v))
 	go c.watch(ctx, v.Revision)
+	go c.refresh(ctx)
 	c.tick(now)
 }
 
@@ -242,6 +288,7 @@
 func (c *coordinator) pollAll(now clock.Instant) {
 	v := c.state.view.Load()
 	stamp := v.Stamp()
+	operator := c.operatorStamp()
 	for host, t := range v.Targets {
 		n := c.members[host]
 		if n == nil {
@@ -252,9 +299,10 @@
 			n.Report, n.Answered = c.member.report(now), now
 			continue
 		}
-		if n.polling || now.Sub(n.sent) < pollInterval && n.stamp >= stamp {
+		if n.polling || now.Sub(n.sent) < pollInterval && n.stamp >= stamp && n.operator == operator {
 			continue
 		}
+		n.operator = operator
 		c.send(now, n, t, v, stamp)
 	}
 	for host := range c.members {
@@ -264,8 +312,21 @@
 	}
 }
 
+// operatorStamp changes with the configuration and with the evacuated zones.
+func (c *coordinator) operatorStamp() uint64 {
+	stamp := c.state.configAt.Load()
+	for zone, since := range *c.state.evacuated.Load() {
+		stamp += uint64(since) + uint64(len(zone))
+	}
+	return stamp
+}
+
 func (c *coordinator) send(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View, stamp uint64) {
-	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Round: c.round, Quarantine: c.quarantine}
+	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Round: c.round, Quarantine: c.quarantine,
+		Config: c.state.configAt.Load(), EvacuatedAt: c.state.evacuatedAt.Load()}
+	for zone := range *c.state.evacuated.Load() {
+		p.Evacuated = append(p.Evacuated, zone)
+	}
 	if n.stamp < stamp {
 		p.View = v
 	}
@@ -296,6 +357,12 @@
 	}
 	n.Report, n.Answered = r, now
 	c.countCrashes(r)
+	if own := r.Record; own != nil {
+		if old := c.state.view.Load().Targets[own.Host]; old != nil && old.Version < own.Version {
+			c.take(now, c.state.view.Load().With(own)) // The watch may miss changes.
+			c.plan(now)
+		}
+	}
 	if len(r.Released) > 0 {
 		c.plan(now)
 	}
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -84,16 +84,18 @@
 // configured takes a new configuration.
 func (g *gate) configured(c *ingress.Config) {
 	names := c.Names()
-	g.dispatch.Update(func(_ clock.Instant, core *dispatch.Core) { core.Keep(names) })
+	own, stated := c.Services[g.settings.Service]
+	g.dispatch.Update(func(_ clock.Instant, core *dispatch.Core) {
+		core.Keep(names)
+		if stated {
+			core.SetColdRate(own.ColdPerSecond)
+		}
+	})
 }
 
 // returned treats the target as cold, because its zone has just returned and may have become cold meanwhile.
-func (g *gate) returned(now clock.Instant) {
-	g.dispatch.Update(func(now clock.Instant, core *dispatch.Core) {
-		if rate := g.member.coldRate(); rate > 0 {
-			core.SetCold(now, now.Add(returnCold), rate)
-		}
-	})
+func (g *gate) returned() {
+	g.dispatch.Update(func(now clock.Instant, core *dispatch.Core) { core.SetCold(now, now.Add(returnCold)) })
 }
 
 // ServeRelay serves requests and messages of other nodes.
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -47,7 +47,7 @@
 
 func newMember(n *node) *member {
 	hold := max(usualHold, time.Duration(2.5*float64(n.settings.HeartbeatInterval())))
-	return &member{node: n, holder: tenure.NewHolder(tenure.Options{LeaseTerm: leaseTerm, Hold: min(hold, n.bounds.MaxHold)})}
+	return &member{node: n, holder: tenure.NewHolder(n.clock.Now(), tenure.Options{LeaseTerm: leaseTerm, Hold: min(hold, n.bounds.MaxHold)})}
 }
 
 // Heartbeat answers a heartbeat of the target.
@@ -105,7 +105,7 @@
 	m.holder.Heard(now, b)
 	m.gate.dispatch.Update(func(now clock.Instant, core *dispatch.Core) {
 		core.SetSlots(b.Slots)
-		core.SetCold(now, now.Add(b.Cold), m.coldRate())
+		core.SetCold(now, now.Add(b.Cold))
 	})
 	m.reconcile(now)
 	grant := m.holder.Grant(now, m.rows())
@@ -114,14 +114,6 @@
 	return grant
 }
 
-// coldRate returns how many requests a second the target bears while it is cold.
-func (m *member) coldRate() float64 {
-	if c := m.state.config.Load(); c != nil {
-		return c.Services[m.settings.Service].ColdPerSecond
-	}
-	return 0
-}
-
 // rows returns the rows that name this host.
 func (m *member) rows() []keyspace.Row {
 	table := m.state.view.Load().Tables[m.settings.Service]
@@ -382,6 +374,7 @@
 		ColdMs:   max(0, (last.Cold - now.Sub(lastAt)).Milliseconds()),
 		Released: m.holder.Released(now, rows),
 		Crashes:  m.gate.crashes(now),
+		Record:   m.record,
 	}
 	_, r.Times = m.gate.dispatch.Stats()
 	r.Demand, r.Segments = m.gate.demand.report(now, rows)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -49,6 +50,9 @@
 	upstream *upstream.Client
 	relay    *relay.Client
 
+	// applying orders changes of the configuration and of the evacuated zones.
+	applying sync.Mutex
+
 	ctx         context.Context
 	control     chan func(now clock.Instant)
 	gate        *gate
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -27,6 +27,9 @@
 	// leaveTime is how long a stopping node goes on serving. The platform asks for readiness once a second and sends no
 	// new callers after two misses.
 	leaveTime = 2200 * time.Millisecond
+	// ownShare is the part of the time after leaveTime in which the own callers get their answers. The rest is for
+	// other nodes' requests at the host's target.
+	ownShare = 0.5
 	// stopMargin is the rest of the platform's grace that is left unused.
 	stopMargin = 700 * time.Millisecond
 )
@@ -155,12 +158,15 @@
 		}
 	})
 	time.Sleep(leaveTime)
-	ctx, cancel := context.WithTimeout(context.Background(), n.bounds.Grace-leaveTime-stopMargin)
+	left := n.bounds.Grace - leaveTime - stopMargin
+	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
-	failed := make(chan error, 2)
-	go func() { failed <- s.entrance.Shutdown(ctx) }()
-	go func() { failed <- r.Close(ctx) }()
-	err1, err2 := <-failed, <-failed
+	// Other nodes' requests for the host's target are taken until the own callers have their answers. Shutdown also
+	// waits for connections that never sent a request.
+	own, cancelOwn := context.WithTimeout(ctx, time.Duration(ownShare*float64(left)))
+	defer cancelOwn()
+	err1 := s.entrance.Shutdown(own)
+	err2 := r.Close(ctx)
 	line := event.SidecarStopped.On(n.log)
 	if err1 != nil || err2 != nil {
 		line.Any("entrance", err1).Any("relay", err2)
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -29,7 +29,11 @@
 	// pollTimeout bounds a poll.
 	pollTimeout = 800 * time.Millisecond
 	// pollSilence is how long a node may leave polls unanswered before its term is revoked.
-	pollSilence = 1800 * time.Millisecond
+	pollSilence = 2500 * time.Millisecond
+	// refreshInterval is how often the coordinator reads the operator's objects: a watch may miss a change for seconds.
+	refreshInterval = 900 * time.Millisecond
+	// unpolled is how long a node goes without a poll before it reads the configuration by itself.
+	unpolled = 1600 * time.Millisecond
 	// leadSilence is how long a node goes without a poll before it tries to become the coordinator.
 	leadSilence = 2500 * time.Millisecond
 	// leadSpread is the random part added to leadSilence, so that nodes try one after the other.
@@ -76,9 +80,12 @@
 	view      atomic.Pointer[fleet.View]
 	config    atomic.Pointer[ingress.Config]
 	evacuated atomic.Pointer[map[string]clock.Instant]
-	own       atomic.Pointer[own]
-	draining  atomic.Bool
-	listed    atomic.Bool
+	// configAt is the store's version of the configuration in force, evacuatedAt the revision of the evacuated zones.
+	configAt    atomic.Uint64
+	evacuatedAt atomic.Uint64
+	own         atomic.Pointer[own]
+	draining    atomic.Bool
+	listed      atomic.Bool
 
 	mu      sync.Mutex
 	changed chan struct{}
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/citronvane/citronvane/internal/clock"
@@ -16,8 +18,8 @@
 const startSpread = 200 * time.Millisecond
 
 // follow keeps apply informed of all objects of a kind: first with the whole list, then with each change. replace says
-// that the objects are all that there are.
-func (n *node) follow(ctx context.Context, kind string, apply func(changes []store.Change, replace bool)) {
+// that the objects are all that there are at the revision.
+func (n *node) follow(ctx context.Context, kind string, apply func(changes []store.Change, revision uint64, replace bool)) {
 	if !sleep(ctx, time.Duration(rand.Int64N(int64(startSpread)))) {
 		return
 	}
@@ -25,26 +27,19 @@
 	listed := false
 	for ctx.Err() == nil {
 		var changes []store.Change
+		var revision uint64
 		var err error
-		if !listed {
-			var objects []store.Object
-			objects, since, err = n.store.List(ctx, kind)
-			for _, o := range objects {
-				changes = append(changes, store.Change{Object: o})
-			}
-		} else {
-			var revision uint64
+		if listed {
 			changes, revision, err = n.store.Watch(ctx, kind, since, watchWait)
-			if err == nil {
-				since = max(since, revision)
-			}
+		} else {
+			changes, revision, err = n.listKind(ctx, kind)
 		}
 		switch {
 		case err == nil:
 			if !listed || len(changes) > 0 {
-				apply(changes, !listed)
+				apply(changes, revision, !listed)
 			}
-			listed = true
+			listed, since = true, max(since, revision)
 		case errs.Is(err, errs.Compacted):
 			listed = false
 		default:
@@ -55,21 +50,43 @@
 	}
 }
 
+func (n *node) listKind(ctx context.Context, kind string) ([]store.Change, uint64, error) {
+	objects, revision, err := n.store.List(ctx, kind)
+	changes := make([]store.Change, len(objects))
+	for i, o := range objects {
+		changes[i] = store.Change{Object: o}
+	}
+	return changes, revision, err
+}
+
 // followConfig keeps the newest configuration in force.
 func (n *node) followConfig(ctx context.Context) {
-	n.follow(ctx, platform.ConfigKind, func(changes []store.Change, _ bool) {
+	n.follow(ctx, platform.ConfigKind, func(changes []store.Change, _ uint64, _ bool) {
 		for _, c := range changes {
 			if c.Name == platform.ConfigName && !c.Deleted {
-				n.applyConfig(c)
+				n.applyConfig(c.Object)
 			}
 		}
 	})
 }
 
-func (n *node) applyConfig(c store.Change) {
-	next, err := platform.DecodeConfig(c.Value)
+// fetchConfig reads the configuration without a watch.
+func (n *node) fetchConfig(ctx context.Context) {
+	if o, err := n.store.Get(ctx, platform.ConfigKind, platform.ConfigName); err == nil {
+		n.applyConfig(o)
+	}
+}
+
+// applyConfig puts a configuration in force unless it is older than the one in force.
+func (n *node) applyConfig(o store.Object) {
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	if o.Version <= n.state.configAt.Load() {
+		return
+	}
+	next, err := platform.DecodeConfig(o.Value)
 	if err != nil {
-		event.ConfigUnread.On(n.log).Uint64("revision", c.Version).Err(err).Send()
+		event.ConfigUnread.On(n.log).Uint64("revision", o.Version).Err(err).Send()
 		return
 	}
 	old := n.state.config.Load()
@@ -77,48 +94,53 @@
 		return // Never back to an older version.
 	}
 	n.state.config.Store(next)
-	event.ConfigInForce.On(n.log).Uint64("version", next.Version).Uint64("revision", c.Version).Send()
+	n.state.configAt.Store(o.Version)
+	event.ConfigInForce.On(n.log).Uint64("version", next.Version).Uint64("revision", o.Version).Send()
 	n.entrance.configured(next)
 	n.gate.configured(next)
 }
 
 // followEvacuations keeps the set of zones that are out of service.
 func (n *node) followEvacuations(ctx context.Context) {
-	n.follow(ctx, platform.EvacuationKind, func(changes []store.Change, replace bool) {
-		now := n.clock.Now()
-		old := *n.state.evacuated.Load()
-		zones := map[string]clock.Instant{}
-		if !replace {
-			for zone, since := range old {
-				zones[zone] = since
-			}
+	n.follow(ctx, platform.EvacuationKind, n.applyEvacuations)
+}
+
+// applyEvacuations changes the set of zones that are out of service, unless the set in force is from a later revision.
+func (n *node) applyEvacuations(changes []store.Change, revision uint64, replace bool) {
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	if revision < n.state.evacuatedAt.Load() {
+		return
+	}
+	now := n.clock.Now()
+	old := *n.state.evacuated.Load()
+	zones := map[string]clock.Instant{}
+	if !replace {
+		for zone, since := range old {
+			zones[zone] = since
 		}
-		for _, c := range changes {
-			if c.Deleted {
-				delete(zones, c.Name)
-			} else if since, out := old[c.Name]; out {
-				zones[c.Name] = since
-			} else {
-				zones[c.Name] = now
-			}
+	}
+	for _, c := range changes {
+		if c.Deleted {
+			delete(zones, c.Name)
+		} else if since, out := old[c.Name]; out {
+			zones[c.Name] = since
+		} else {
+			zones[c.Name] = now
 		}
-		n.state.evacuated.Store(&zones)
-		event.EvacuationsSeen.On(n.log).Any("zones", zoneNames(zones)).Send()
-		if _, was := old[n.settings.AvailabilityZone]; was {
-			if _, out := zones[n.settings.AvailabilityZone]; !out {
-				n.gate.returned(now)
-			}
+	}
+	n.state.evacuatedAt.Store(revision)
+	if maps.Equal(old, zones) {
+		return
+	}
+	n.state.evacuated.Store(&zones)
+	event.EvacuationsSeen.On(n.log).Any("zones", slices.Sorted(maps.Keys(zones))).Uint64("revision", revision).Send()
+	if _, was := old[n.settings.AvailabilityZone]; was {
+		if _, out := zones[n.settings.AvailabilityZone]; !out {
+			n.gate.returned()
 		}
-		n.post(n.coordinator.tick)
-	})
-}
-
-func zoneNames(zones map[string]clock.Instant) []string {
-	names := make([]string, 0, len(zones))
-	for zone := range zones {
-		names = append(names, zone)
 	}
-	return names
+	go n.post(n.coordinator.tick)
 }
 
 // listOnce reads the view at the start, so that the node can serve before a coordinator polls it.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -86,16 +86,25 @@
 	leaving  bool
 }
 
-// NewHolder returns a holder without a term.
-func NewHolder(options Options) *Holder { return &Holder{options: options} }
+// NewHolder returns a holder without a term. It does not know what an earlier process granted, so that the target's
+// holds last as long as a grant given now.
+func NewHolder(now clock.Instant, options Options) *Holder {
+	h := &Holder{options: options}
+	h.ends = h.end(now, options.Hold)
+	return h
+}
+
+// end returns when a hold granted now has certainly run out.
+func (h *Holder) end(now clock.Instant, hold time.Duration) clock.Instant {
+	return now.Add(time.Duration(float64(hold)*(1+clockDrift)) + deathMargin)
+}
 
 // Begin starts or continues a term for a life of the target. The caller has made sure that the record in the store
-// names it, and passes when it sent the call that showed so. A holder that continues a term does not know what an
-// earlier process granted, so that the holds last as long as a grant given now.
+// names it, and passes when it sent the call that showed so.
 func (h *Holder) Begin(now clock.Instant, owner keyspace.Owner, born int64, checked clock.Instant) {
 	if h.owner != owner {
 		h.given, h.tokens, h.givenSeq, h.leaving = nil, nil, 0, false
-		h.ends = now.Add(time.Duration(float64(h.options.Hold)*(1+clockDrift)) + deathMargin)
+		h.ends = max(h.ends, h.end(now, h.options.Hold))
 	}
 	h.owner, h.born = owner, born
 	h.checked, h.valid = checked, true
@@ -150,7 +159,7 @@
 	if len(h.tokens) > maxTokens {
 		h.tokens = h.tokens[len(h.tokens)-maxTokens:]
 	}
-	if len(b.Holds) == 0 && b.Born == h.born && b.Sequence > h.givenSeq {
+	if len(b.Holds) == 0 && (b.Born == h.born || h.owner.IsZero()) && b.Sequence > h.givenSeq {
 		h.ends = min(h.ends, now)
 	}
 }
@@ -180,7 +189,7 @@
 	}
 	h.given, h.givenSeq = grant.Rows, h.last.Sequence
 	if len(grant.Rows) > 0 {
-		h.ends = max(h.ends, now.Add(time.Duration(float64(hold)*(1+clockDrift))+deathMargin))
+		h.ends = max(h.ends, h.end(now, hold))
 	}
 	return grant
 }
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -30,7 +30,7 @@
 }
 
 func started() *Holder {
-	h := NewHolder(options)
+	h := NewHolder(at(0), options)
 	h.Begin(at(0), self, 77, at(0))
 	return h
 }
@@ -118,6 +118,15 @@
 	require.Len(t, h.Released(at(0.4), moving), 1)
 }
 
+// Guards against a restarted node that registers the next term while its target holds ranges of a revoked one.
+func TestNewProcessDoesNotKnowThatHoldsHaveEnded(t *testing.T) {
+	h := NewHolder(at(0), options)
+	require.False(t, h.Ended(at(0)))
+	h.Heard(at(0.1), beat(9, Held{keyspace.Range{From: 0, To: 9}, 5}))
+	require.False(t, h.Ended(at(3)))
+	require.True(t, h.Ended(at(3.65)))
+}
+
 func TestStaleHeartbeats(t *testing.T) {
 	h := started()
 	h.Heard(at(0), beat(4))
