--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -12,7 +12,7 @@
 	budgetBuckets = 10
 	// ownShare is the part of the allowance that is used: nodes see unequal loads, and the calls that a repeated run
 	// makes count as repeats at the service that is called.
-	ownShare = 0.45
+	ownShare = 0.33
 )
 
 // Budget bounds how often a node sends requests of one service a second time, so that all nodes together stay within
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -9,14 +9,14 @@
 
 const (
 	// balanceInterval is the pause between moves for balance, in which the demand is measured anew.
-	balanceInterval = 1200 * time.Millisecond
+	balanceInterval = 700 * time.Millisecond
 	// busyEnough is the share of busy slots below which an owner is left alone.
-	busyEnough = 0.55
+	busyEnough = 0.5
 	// minSpread is the difference in the share of busy slots from which moving pays: keys on the move are not
 	// served for about half a heartbeat interval.
-	minSpread = 0.25
-	// maxDonors bounds the owners that give ranges away in one step.
-	maxDonors = 3
+	minSpread = 0.22
+	// maxSteps bounds the pairs of owners that exchange ranges in one step.
+	maxSteps = 8
 )
 
 // balance moves ranges from the busiest owners to the least busy ones.
@@ -24,30 +24,24 @@
 	if len(s.change.Moves) > 0 || len(s.table.Rows) > maxRows || s.in.Now.Sub(s.in.Balanced[s.name]) < balanceInterval {
 		return
 	}
-	for _, r := range s.table.Rows {
-		if !r.Next.IsZero() {
-			return
-		}
-	}
 	var warm []*candidate
 	for _, c := range s.candidates {
-		if c.report == nil {
-			return
-		}
-		if !c.cold {
+		if c.report != nil && !c.cold {
 			warm = append(warm, c)
 		}
 	}
-	for range maxDonors {
+	for range maxSteps {
 		if len(warm) < 2 {
 			return
 		}
 		sort.SliceStable(warm, func(i, j int) bool { return warm[i].ratio() > warm[j].ratio() })
 		from, to := warm[0], warm[len(warm)-1]
-		if from.ratio() < busyEnough || from.ratio()-to.ratio() < minSpread || !s.shed(from, to) {
+		if from.ratio() < busyEnough || from.ratio()-to.ratio() < minSpread {
 			return
 		}
-		warm = warm[1 : len(warm)-1]
+		if !s.shed(from, to) {
+			warm = warm[1:] // What is left of it can't be divided.
+		}
 	}
 }
 
@@ -64,7 +58,7 @@
 		s.table.Cut(seg.Range)
 		for i := range s.table.Rows {
 			r := &s.table.Rows[i]
-			if seg.Covers(r.Range) && r.Owner == from.target.Owner() {
+			if seg.Covers(r.Range) && r.Owner == from.target.Owner() && r.Next.IsZero() {
 				s.move(r, to.target.Owner(), Balance)
 			}
 		}
@@ -85,7 +79,7 @@
 func (s *service) segments(c *candidate) []piece {
 	var pieces []piece
 	for _, r := range s.table.Rows {
-		if r.Owner != c.target.Owner() {
+		if r.Owner != c.target.Owner() || !r.Next.IsZero() {
 			continue
 		}
 		for _, seg := range c.report.Segments {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -55,8 +55,22 @@
 	Began clock.Instant
 	// Balanced holds when ranges of a service were last moved for balance.
 	Balanced map[string]clock.Instant
+	// Expected holds the demand of ranges that were assigned lately.
+	Expected []Expected
 }
 
+// Expected is the demand of a range whose new owner has not measured it yet.
+type Expected struct {
+	keyspace.Range
+	Owner keyspace.Owner
+	// Demand is in slots of the owner.
+	Demand float64
+	Until  clock.Instant
+}
+
+// expectedFor is how long a new owner takes to measure the demand of a range.
+const expectedFor = 2500 * time.Millisecond
+
 // Plan is what to write.
 type Plan struct {
 	// Revoke lists the hosts whose terms are to be revoked.
@@ -78,6 +92,8 @@
 	// Last is the owner so far, Owner the one that the range goes to.
 	Last, Owner keyspace.Owner
 	Reason      Reason
+	// Demand is what the range is expected to need, in slots of the new owner.
+	Demand float64
 	// Warm says that the last holder's handover token is passed on.
 	Warm bool
 }
@@ -156,9 +172,56 @@
 		s.candidates = append(s.candidates, c)
 	}
 	s.measurePace()
+	s.addExpected()
 	return s
 }
 
+// addExpected corrects the load for ranges that change or have just changed their owner.
+func (s *service) addExpected() {
+	for _, e := range s.in.Expected {
+		if c := s.find(e.Owner); c != nil && s.in.Now < e.Until && c.report != nil {
+			c.load += max(0, e.Demand-demandIn(c.report, e.Range))
+		}
+	}
+	for _, r := range s.table.Rows {
+		if r.Next.IsZero() {
+			continue
+		}
+		demand := s.demand(r)
+		from, to := s.find(r.Owner), s.find(r.Next)
+		if from != nil {
+			from.load -= demand
+		}
+		if to != nil {
+			to.load += demand * to.pace / s.paceOf(r.Owner)
+		}
+	}
+}
+
+// paceOf returns the pace of an owner, 1 if it is not known.
+func (s *service) paceOf(o keyspace.Owner) float64 {
+	if c := s.find(o); c != nil {
+		return c.pace
+	}
+	return 1
+}
+
+// Remember returns what is expected of the new owners, without what has run out.
+func Remember(expected []Expected, now clock.Instant, moves []Move) []Expected {
+	var kept []Expected
+	for _, e := range expected {
+		if now < e.Until {
+			kept = append(kept, e)
+		}
+	}
+	for _, m := range moves {
+		if m.Demand > 0 && (m.Reason == Released || m.Reason == OwnerGone) {
+			kept = append(kept, Expected{m.Range, m.Owner, m.Demand, now.Add(expectedFor)})
+		}
+	}
+	return kept
+}
+
 func sortedHosts(v *fleet.View) []string {
 	hosts := make([]string, 0, len(v.Targets))
 	for host := range v.Targets {
@@ -314,9 +377,14 @@
 	if n == nil || n.Report == nil {
 		return 0
 	}
+	return demandIn(n.Report, r.Range)
+}
+
+// demandIn returns the reported demand for a range.
+func demandIn(report *fleet.Report, r keyspace.Range) float64 {
 	sum := 0.0
-	for _, seg := range n.Report.Segments {
-		if seg.Overlaps(r.Range) {
+	for _, seg := range report.Segments {
+		if seg.Overlaps(r) {
 			shared := min(seg.To, r.To) - max(seg.From, r.From) + 1
 			sum += seg.Demand * float64(shared) / float64(seg.Size())
 		}
@@ -336,10 +404,13 @@
 		if c == nil {
 			continue
 		}
-		c.load += v.demand * c.pace
+		demand := v.demand * c.pace / s.paceOf(v.last)
+		if c.target.Owner() != v.next {
+			c.load += demand // The load of a planned owner has it already.
+		}
 		width[c.target.Host] += v.Size()
 		s.table.Assign(v.Range, c.target.Owner(), v.handover)
-		s.change.Moves = append(s.change.Moves, Move{v.Range, v.last, c.target.Owner(), v.reason, v.handover != ""})
+		s.change.Moves = append(s.change.Moves, Move{v.Range, v.last, c.target.Owner(), v.reason, demand, v.handover != ""})
 	}
 }
 
@@ -413,12 +484,12 @@
 	if c == nil || c.target.Owner() == r.Next {
 		return
 	}
-	c.load += demand * c.pace
+	c.load += demand * c.pace / s.paceOf(r.Owner)
 	width[c.target.Host] += r.Size()
 	s.move(r, c.target.Owner(), reason)
 }
 
 func (s *service) move(r *keyspace.Row, next keyspace.Owner, reason Reason) {
 	r.Next = next
-	s.change.Moves = append(s.change.Moves, Move{r.Range, r.Owner, next, reason, false})
+	s.change.Moves = append(s.change.Moves, Move{r.Range, r.Owner, next, reason, 0, false})
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -210,6 +210,31 @@
 	require.Greater(t, moved, 25)
 }
 
+// Guards against ranges that wander from owner to owner because the new one has not measured their demand yet.
+func TestMovedDemandIsExpectedAtTheNewOwner(t *testing.T) {
+	w := newWorld(4)
+	w.step(t)
+	w.hot(w.table().Rows[0].Owner.Host, keyspace.Range{From: 100, To: 299}, 20, 9)
+	moves := w.step(t).Tables["booking"].Moves
+	w.pass(balanceInterval)
+	w.answer("h0", "h1", "h2", "h3")
+	require.Empty(t, w.step(t).Tables, "what is on the move counts at its destination")
+	for _, m := range moves {
+		row, _ := w.table().Find(m.From)
+		w.in.Nodes[m.Last.Host].Report.Released = append(w.in.Nodes[m.Last.Host].Report.Released, fleet.Release{Range: m.Range, Fence: row.Fence})
+	}
+	p := w.step(t)
+	w.in.Expected = Remember(nil, w.in.Now, p.Tables["booking"].Moves)
+	require.Len(t, w.in.Expected, len(moves))
+	w.pass(balanceInterval)
+	w.answer("h0", "h1", "h2", "h3")
+	for _, n := range w.in.Nodes {
+		n.Report.Released = nil
+	}
+	w.in.Nodes["h0"].Report.Demand, w.in.Nodes["h0"].Report.Segments = 11, []fleet.Segment{{Range: keyspace.Range{From: 0, To: 99}, Demand: 11}}
+	require.Empty(t, w.step(t).Tables, "the new owner reports none of it yet")
+}
+
 func TestBalancedFleetIsLeftAlone(t *testing.T) {
 	w := newWorld(4)
 	w.step(t)
--- a/internal/relay/clientconn.go
+++ b/internal/relay/clientconn.go
@@ -21,9 +21,9 @@
 	readBuffer = 32 << 10
 	// probeInterval is how often a silent connection with streams is probed.
 	probeInterval = time.Second
-	// maxSilence is when a silent connection with streams counts as lost. A frozen server has lost
-	// its lease long before.
-	maxSilence = 3 * probeInterval
+	// maxUnanswered is the number of probes without an answer after which a connection with streams counts as lost. A
+	// frozen server has lost its lease long before.
+	maxUnanswered = 2
 	// maxIdle is when a connection without streams is closed.
 	maxIdle = 5 * time.Minute
 	// lastStream is the identity after which a connection takes no new streams.
@@ -138,12 +138,12 @@
 }
 
 func (c *clientConn) readAll() error {
-	heard := time.Now()
+	var silence prober
 	for {
 		_ = c.net.SetReadDeadline(time.Now().Add(probeInterval)) // A closed connection fails the read.
 		n, err := c.net.Read(c.buffer)
 		if n > 0 {
-			heard = time.Now()
+			silence.heard()
 			if err := c.frames.feed(c.buffer[:n], c.receive); err != nil {
 				return err
 			}
@@ -151,7 +151,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			if err := c.probe(time.Since(heard)); err != nil {
+			if err := c.probe(&silence); err != nil {
 				return err
 			}
 		default:
@@ -160,19 +160,43 @@
 	}
 }
 
+// prober decides what to do with a connection that has been silent for probeInterval.
+type prober struct {
+	quiet, unanswered int
+}
+
+// heard records that something arrived.
+func (p *prober) heard() { *p = prober{} }
+
+// silent returns whether to probe the server, and whether the connection is lost. Silence while nothing was asked for says
+// nothing, so that only unanswered probes count.
+func (p *prober) silent(streams int) (probe, lost bool) {
+	p.quiet++
+	if streams == 0 {
+		p.unanswered = 0
+		return false, time.Duration(p.quiet)*probeInterval >= maxIdle
+	}
+	if p.unanswered >= maxUnanswered {
+		return false, true
+	}
+	p.unanswered++
+	return true, false
+}
+
 // probe looks after a connection that has been silent.
-func (c *clientConn) probe(silent time.Duration) error {
+func (c *clientConn) probe(silence *prober) error {
 	c.out.trim()
-	if c.load() == 0 {
-		if silent >= maxIdle || c.isRetired() {
-			return errs.New(errs.Unavailable, "", "the connection is idle")
-		}
-		return nil
+	streams := c.load()
+	probe, lost := silence.silent(streams)
+	switch {
+	case lost && streams > 0:
+		return errs.New(errs.Unavailable, "", "the server left %d probes unanswered", maxUnanswered)
+	case lost || streams == 0 && c.isRetired():
+		return errs.New(errs.Unavailable, "", "the connection is idle")
+	case probe:
+		return c.out.control(frame{kind: kindPing})
 	}
-	if silent >= maxSilence {
-		return errs.New(errs.Unavailable, "", "the server has been silent for %s", silent.Round(time.Millisecond))
-	}
-	return c.out.control(frame{kind: kindPing})
+	return nil
 }
 
 func (c *clientConn) writeAll() {
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -48,7 +48,9 @@
 	members map[string]*polledNode
 	revoked map[keyspace.Owner]clock.Instant
 	// balanced holds when ranges of a service were last moved for balance.
-	balanced   map[string]clock.Instant
+	balanced map[string]clock.Instant
+	// expected holds the demand of ranges that new owners have not measured yet.
+	expected   []placement.Expected
 	writing    map[string]bool // objects with a write under way
 	crashes    map[uint64]map[string]int
 	quarantine []uint64
@@ -221,6 +223,7 @@
 	c.revoked = map[keyspace.Owner]clock.Instant{}
 	c.balanced = map[string]clock.Instant{}
 	c.writing = map[string]bool{}
+	c.expected = nil
 	c.crashes = map[uint64]map[string]int{}
 	event.LeadTaken.On(c.log).Uint64("round", round).Uint64("revision", v.Revision).Send()
 	c.take(now, c.state.view.Load().Merge(v))
@@ -396,7 +399,7 @@
 	}
 	in := &placement.Input{
 		Now: now, View: v, Nodes: map[string]*placement.Node{}, Revoked: c.revoked, Evacuated: map[string]bool{},
-		Keyed: map[string]bool{}, Began: c.began, Balanced: c.balanced,
+		Keyed: map[string]bool{}, Began: c.began, Balanced: c.balanced, Expected: c.expected,
 	}
 	for host, n := range c.members {
 		in.Nodes[host] = &n.Node
@@ -467,6 +470,7 @@
 	}
 	c.put(now, fleet.TableName(service), change.Table.Encode(), version, func(after clock.Instant, version uint64) {
 		event.TableWritten.On(c.log).Str("service", service).Uint64("version", version).Int("rows", len(change.Table.Rows)).Int("moves", len(change.Moves)).Send()
+		c.expected = placement.Remember(c.expected, after, change.Moves)
 		c.metrics.moved(service, len(change.Moves))
 		v := c.state.view.Load().Clone()
 		if old := v.Tables[service]; old == nil || old.Version < version {
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -39,7 +39,7 @@
 	// leadSpread is the random part added to leadSilence, so that nodes try one after the other.
 	leadSpread = 800 * time.Millisecond
 	// gatherTime is how long the first assignment waits for targets to register.
-	gatherTime = 1500 * time.Millisecond
+	gatherTime = 4 * time.Second
 	// watchWait is how long a watch of the operator's objects waits; the platform bounds it to 30 s.
 	watchWait = 20 * time.Second
 	// leadWatchWait is the same for the coordinator, which notices a silent connection sooner.
