--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -26,9 +26,10 @@
 	unknownColdRate = 10
 	// coldBurst is how many requests a cold target may get at once.
 	coldBurst = 3
-	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may come back.
-	minRetryAfter = 40 * time.Millisecond
-	maxRetryAfter = time.Second
+	// minReturn and maxReturn bound the time after which a refused caller may come back, as shares of the objective.
+	// Sooner the queue that refused it is still there, later its answer would hardly be in time for its deadline.
+	minReturn = 0.5
+	maxReturn = 1
 	// classes is the number of priorities that are told apart; higher numbers share the last one.
 	classes = 8
 	// spread is the part of the service time that is added to it, because half of the answers take longer than the mean.
@@ -136,7 +137,7 @@
 	wait, reason := c.expectedWait(now, &r, own)
 	finish := now.Add(seconds(wait + own))
 	if after := finish.Add(seconds(spread * own)).Sub(r.Aim); after > 0 && (wait > 0 || finish > r.Deadline) {
-		return nil, &Refusal{Reason: reason, RetryAfter: min(max(after, minRetryAfter), maxRetryAfter), Expected: finish.Sub(now)}
+		return nil, &Refusal{Reason: reason, RetryAfter: comeBack(after, r.Objective), Expected: finish.Sub(now)}
 	}
 	t := &Ticket{Request: r, arrived: now, decided: make(chan struct{})}
 	k := class(r.Priority)
@@ -145,6 +146,11 @@
 	return t, nil
 }
 
+// comeBack returns when a caller may come back whose answer would have been late by so much.
+func comeBack(late, objective time.Duration) time.Duration {
+	return min(max(late, seconds(minReturn*objective.Seconds())), seconds(maxReturn*objective.Seconds()))
+}
+
 // expectedWait returns the time in seconds until the request would start.
 func (c *Core) expectedWait(now clock.Instant, r *Request, own float64) (float64, Reason) {
 	ahead := 0
@@ -236,7 +242,7 @@
 			limit := t.arrived.Add(time.Duration(lateShare * float64(t.Deadline.Sub(t.arrived))))
 			if now > limit || now.Add(seconds(c.service(&t.Request))) > t.Deadline {
 				c.remove(k, i)
-				t.refused = &Refusal{Reason: Late, RetryAfter: minRetryAfter, Expected: now.Sub(t.arrived)}
+				t.refused = &Refusal{Reason: Late, RetryAfter: comeBack(0, t.Objective), Expected: now.Sub(t.arrived)}
 				return t
 			}
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -34,7 +34,8 @@
 	// 0.15 s each on two slots: those that start within 0.35 s meet the objective.
 	require.InDelta(t, 2+4, admitted, 1)
 	require.Equal(t, Overload, refusal.Reason)
-	require.GreaterOrEqual(t, refusal.RetryAfter, minRetryAfter)
+	require.GreaterOrEqual(t, refusal.RetryAfter, 250*time.Millisecond)
+	require.LessOrEqual(t, refusal.RetryAfter, 500*time.Millisecond)
 }
 
 func TestUrgentRequestsStartFirst(t *testing.T) {
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -9,14 +9,19 @@
 
 const (
 	// balanceInterval is the pause between moves for balance, in which the demand is measured anew.
-	balanceInterval = 700 * time.Millisecond
-	// busyEnough is the share of busy slots below which an owner is left alone.
-	busyEnough = 0.5
+	balanceInterval = time.Second
+	// busyEnough is the share of busy slots below which an owner is left alone: it answers in time.
+	busyEnough = 0.7
+	// roomEnough is the share of busy slots above which an owner gets nothing more. Between owners that are all
+	// overloaded, moving serves nobody.
+	roomEnough = 0.75
 	// minSpread is the difference in the share of busy slots from which moving pays: keys on the move are not
 	// served for about half a heartbeat interval.
-	minSpread = 0.22
+	minSpread = 0.25
+	// fullEnough is the share of busy slots up to which an owner is filled.
+	fullEnough = 0.9
 	// maxSteps bounds the pairs of owners that exchange ranges in one step.
-	maxSteps = 8
+	maxSteps = 5
 )
 
 // balance moves ranges from the busiest owners to the least busy ones.
@@ -36,7 +41,7 @@
 		}
 		sort.SliceStable(warm, func(i, j int) bool { return warm[i].ratio() > warm[j].ratio() })
 		from, to := warm[0], warm[len(warm)-1]
-		if from.ratio() < busyEnough || from.ratio()-to.ratio() < minSpread {
+		if from.ratio() < busyEnough || to.ratio() > roomEnough || from.ratio()-to.ratio() < minSpread {
 			return
 		}
 		if !s.shed(from, to) {
@@ -49,7 +54,7 @@
 func (s *service) shed(from, to *candidate) bool {
 	// Moving demand d (in slots of the donor) lowers the donor by d and raises the receiver by d x paces.
 	rate := to.pace / from.pace
-	want := (from.ratio() - to.ratio()) / (1/from.slots() + rate/to.slots())
+	want := min((from.ratio()-to.ratio())/(1/from.slots()+rate/to.slots()), (fullEnough-to.ratio())*to.slots()/rate)
 	picked := pick(s.segments(from), want)
 	if len(picked) == 0 {
 		return false
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -242,4 +242,6 @@
 	require.Empty(t, w.step(t).Tables)
 	w.hot("none", keyspace.Range{}, 0, 1)
 	require.Empty(t, w.step(t).Tables)
+	w.hot(w.table().Rows[0].Owner.Host, keyspace.Range{From: 100, To: 299}, 40, 20)
+	require.Empty(t, w.step(t).Tables, "moving serves nobody if all owners are overloaded")
 }
--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -23,6 +24,8 @@
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may come back.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Second
+	// returnSpread divides the time after which a caller may come back; the result is the random part added to it.
+	returnSpread = 4
 	// startingRetryAfter is for callers that come before the node knows a configuration.
 	startingRetryAfter = 300 * time.Millisecond
 	// answerMargin is how long before the caller's deadline an answer has to leave.
@@ -258,7 +261,9 @@
 	})
 	platform.SetID(w.Header(), x.id)
 	if status == http.StatusServiceUnavailable {
-		platform.SetRetryAfter(w.Header(), max(r.after, minRetryAfter))
+		// Callers that were refused together come back apart.
+		after := max(r.after, minRetryAfter)
+		platform.SetRetryAfter(w.Header(), after+time.Duration(rand.Int64N(int64(after)/returnSpread+1)))
 	}
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -31,7 +31,7 @@
 	// grantSlack is added to the time of the next heartbeat, which carries a new grant.
 	grantSlack = 60 * time.Millisecond
 	// parkShare is the part of its objective that a request waits for its key to be granted.
-	parkShare = 0.5
+	parkShare = 0.6
 	// crashMemory is how long a request counts as running after its connection broke, until the target's end is known.
 	crashMemory = 3 * time.Second
 	// quarantineTime is how long a node refuses a request that crashes targets.
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -48,13 +48,21 @@
 		res := e.send(ctx, x, t)
 		res.host = t.Host
 		if ctx.Err() != nil || !e.again(x, t, res, tried) {
-			return better(last, res)
+			return better(last, res).comeBack()
 		}
 		last = better(last, res)
 	}
 	return last
 }
 
+// comeBack adds the time after which the caller may come back where the refusing host could not say it.
+func (r *result) comeBack() *result {
+	if r.refusal != nil && r.refusal.after == 0 {
+		r.refusal.after = ownerRetryAfter
+	}
+	return r
+}
+
 // better prefers an answer of the target to an unknown outcome, and that to a refusal, which is only true if no earlier
 // try may have run the request.
 func better(last, res *result) *result {
