--- /dev/null
+++ b/internal/sidecar/fleet_test.go
@@ -0,0 +1,327 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/settings"
+	"github.com/citronvane/citronvane/platform"
+)
+
+// rig is a small fleet over stand-ins: nodes h1 to hN of a keyed service, the last one of a pooled service.
+type rig struct {
+	t       *testing.T
+	store   *storeStandin
+	history *history
+	hosts   []*rigHost
+}
+
+type rigHost struct {
+	node   *node
+	door   *door
+	target *targetStandin
+	cancel context.CancelFunc
+	done   chan error
+}
+
+const rigConfig = `{"version":"r%d","routes":{
+"keyed":{"host":"x.example","path_prefix":"/k/","kind":"safe","timeout_ms":3000,"target_latency_ms":1000,"priority":2,"service":"keyed","max_attempts":2},
+"once":{"host":"x.example","path_prefix":"/o/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":1000,"priority":1,"service":"keyed","max_attempts":2},
+"pooled":{"host":"x.example","path_prefix":"/%s/","kind":"safe","timeout_ms":3000,"target_latency_ms":1000,"priority":1,"service":"pooled","max_attempts":2}},
+"services":{"keyed":{"sharded":true,"cold_per_s":28,"cold_start_s":3},"pooled":{"cold_per_s":28,"cold_start_s":3}},
+"limits":{"max_body_bytes":1000000,"idle_timeout_ms":15000}}`
+
+func freePorts(t *testing.T, ip string, n int) []string {
+	t.Helper()
+	addresses := make([]string, n)
+	for i := range addresses {
+		l, err := net.Listen("tcp", ip+":0")
+		require.NoError(t, err)
+		defer l.Close()
+		addresses[i] = l.Addr().String()
+	}
+	return addresses
+}
+
+func newRig(t *testing.T, keyed int) *rig {
+	t.Helper()
+	r := &rig{t: t, store: newStoreStandin(), history: &history{held: map[int]heldBy{}}}
+	r.store.write("config", "main", fmt.Sprintf(rigConfig, 1, "p"))
+	for i := range keyed + 1 {
+		service := "keyed"
+		if i == keyed {
+			service = "pooled"
+		}
+		r.hosts = append(r.hosts, r.host(fmt.Sprintf("127.0.0.%d", i+11), service))
+	}
+	t.Cleanup(func() {
+		for _, h := range r.hosts {
+			h.cancel()
+		}
+		for _, h := range r.hosts {
+			<-h.done
+			if h.target != nil {
+				h.target.crash()
+			}
+		}
+	})
+	require.Eventually(t, func() bool {
+		view := r.hosts[0].node.state.view.Load()
+		table := view.Tables["keyed"]
+		return table != nil && len(table.Gaps()) == 0 && len(view.Targets) == keyed+1 && r.served("p")
+	}, 15*time.Second, 50*time.Millisecond, "the fleet serves")
+	return r
+}
+
+// served reports whether every node serves every part of the keyspace and the pooled service.
+func (r *rig) served(pooled string) bool {
+	for _, h := range r.hosts {
+		for _, path := range []string{"/k/x", "/" + pooled + "/x"} {
+			for key := 0; key < 65536; key += 8192 {
+				status, _ := h.get(path, fmt.Sprintf("probe-%d", time.Now().UnixNano()), key)
+				if status != 200 {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+func (r *rig) host(ip, service string) *rigHost {
+	ports := freePorts(r.t, ip, 6)
+	var relayPort int
+	_, err := fmt.Sscanf(strings.TrimPrefix(ports[0], ip+":"), "%d", &relayPort)
+	require.NoError(r.t, err)
+	door := r.store.door(r.t)
+	s := &settings.Sidecar{
+		Node: "node-" + ip, Host: ip, AvailabilityZone: "z", Service: service, Target: ports[1], HeartbeatIntervalMs: 200,
+		RelayPorts: []int{relayPort, relayPort},
+		Listen:     settings.SidecarListen{Entrance: ports[2], Readiness: ports[3], Heartbeats: ports[4], Metrics: ports[5]},
+		Store:      settings.SidecarStore{Address: door.address},
+	}
+	bounds, err := platform.ReadBounds(nil)
+	require.NoError(r.t, err)
+	out := newOutput(io.Discard)
+	if os.Getenv("RIG_LOG") != "" {
+		out = newOutput(os.Stderr)
+	}
+	n, err := newNode(s, bounds, newLogger(out, s.Node), out)
+	require.NoError(r.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &rigHost{node: n, door: door, cancel: cancel, done: make(chan error, 1)}
+	go func() { h.done <- n.run(ctx) }()
+	h.target = r.target(h, "i-"+ip, 1000)
+	return h
+}
+
+func (r *rig) target(h *rigHost, instance string, born int64) *targetStandin {
+	s := h.node.settings
+	target := &targetStandin{t: r.t, history: r.history, host: s.Host, service: s.Service, control: s.Listen.Heartbeats, instance: instance, born: born, work: 2 * time.Millisecond}
+	target.start(s.Target)
+	return target
+}
+
+func (h *rigHost) get(path, id string, key int) (int, string) {
+	request, _ := http.NewRequest(http.MethodGet, "http://"+h.node.settings.Listen.Entrance+path, nil)
+	request.Host = "x.example"
+	request.Header = http.Header{"Request-Id": {id}, "Deadline-Ms": {"2500"}, "Shard-Key": {fmt.Sprint(key)}}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+func (r *rig) noFault() {
+	r.t.Helper()
+	r.history.mu.Lock()
+	defer r.history.mu.Unlock()
+	require.Empty(r.t, r.history.fault)
+	seen := map[string]bool{}
+	for _, run := range r.history.runs {
+		if strings.HasPrefix(run.id, "once") {
+			require.False(r.t, seen[run.id], "%s ran twice", run.id)
+			seen[run.id] = true
+		}
+	}
+}
+
+// serveThrough sends requests until the time is over and returns for how long a part of the keyspace was not served.
+func (r *rig) serveThrough(d time.Duration, entrance *rigHost) (longest time.Duration) {
+	since := map[int]time.Time{}
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for key := 0; key < 65536; key += 4096 {
+			status, _ := entrance.get("/o/x", fmt.Sprintf("once-%d-%d", key, time.Now().UnixNano()), key)
+			if status == 200 {
+				delete(since, key)
+				continue
+			}
+			if since[key].IsZero() {
+				since[key] = time.Now()
+			}
+			longest = max(longest, time.Since(since[key]))
+		}
+	}
+	return longest
+}
+
+func TestFleet(t *testing.T) {
+	r := newRig(t, 3)
+
+	t.Run("answers are the target's", func(t *testing.T) {
+		status, body := r.hosts[0].get("/k/a%2Fb?c=d", "x1", 40000)
+		require.Equal(t, 200, status)
+		require.Equal(t, "GET /k/a%2Fb?c=d ", body)
+	})
+
+	t.Run("what is not configured is refused", func(t *testing.T) {
+		status, _ := r.hosts[0].get("/none/", "x2", 1)
+		require.Equal(t, 404, status)
+	})
+
+	t.Run("two lengths are refused and the connection is closed", func(t *testing.T) {
+		c, err := net.Dial("tcp", r.hosts[0].node.settings.Listen.Entrance)
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, "POST /o/x HTTP/1.1\r\nHost: x.example\r\nRequest-Id: s1\r\nShard-Key: 1\r\nContent-Length: 4\r\n"+
+			"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /k/smuggled HTTP/1.1\r\nHost: x.example\r\nRequest-Id: s2\r\nShard-Key: 1\r\n\r\n")
+		require.NoError(t, err)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(3*time.Second)))
+		reader := bufio.NewReader(c)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, 400, response.StatusCode)
+		_, err = http.ReadResponse(reader, nil)
+		require.Error(t, err, "what follows is not served")
+	})
+
+	// Guards against a watch that misses a change: the coordinator's poll names the revision.
+	t.Run("a missed change of the configuration is in force within 2 s", func(t *testing.T) {
+		r.store.mu.Lock()
+		r.store.deaf = true
+		r.store.mu.Unlock()
+		r.store.write("config", "main", fmt.Sprintf(rigConfig, 2, "q"))
+		require.Eventually(t, func() bool {
+			for _, h := range r.hosts {
+				if status, _ := h.get("/q/x", "c1", 1); status != 200 {
+					return false
+				}
+				if status, _ := h.get("/p/x", "c2", 1); status != 404 {
+					return false
+				}
+			}
+			return true
+		}, 2*time.Second, 20*time.Millisecond)
+		r.store.mu.Lock()
+		r.store.deaf = false
+		r.store.mu.Unlock()
+	})
+
+	t.Run("an outage of the store shorter than the lease is not noticed", func(t *testing.T) {
+		for _, h := range r.hosts {
+			h.door.set(func(d *door) { d.down = true })
+		}
+		longest := r.serveThrough(4*time.Second, r.hosts[0])
+		require.Zero(t, longest)
+		for _, h := range r.hosts {
+			h.door.set(func(d *door) { d.down = false })
+		}
+		r.noFault()
+	})
+
+	t.Run("keys of a crashed target are served elsewhere", func(t *testing.T) {
+		require.Eventually(t, func() bool { return r.served("q") }, 10*time.Second, 50*time.Millisecond)
+		r.hosts[1].target.crash()
+		longest := r.serveThrough(4*time.Second, r.hosts[0])
+		require.Less(t, longest, 3*time.Second)
+		r.noFault()
+		r.hosts[1].target = r.target(r.hosts[1], "i-again", 2000)
+		require.Eventually(t, func() bool { return r.served("q") }, 10*time.Second, 50*time.Millisecond)
+	})
+
+	t.Run("a draining target hands its keys over", func(t *testing.T) {
+		target := r.hosts[2].target
+		target.mu.Lock()
+		target.state = "draining"
+		target.mu.Unlock()
+		longest := r.serveThrough(3*time.Second, r.hosts[0])
+		require.Less(t, longest, 2*time.Second)
+		target.mu.Lock()
+		require.Empty(t, target.holds)
+		target.mu.Unlock()
+		r.noFault()
+	})
+
+	t.Run("lost answers of the store break nothing", func(t *testing.T) {
+		for _, h := range r.hosts {
+			h.door.set(func(d *door) { d.loseAnswers = true })
+		}
+		r.hosts[0].target.crash()
+		r.serveThrough(3*time.Second, r.hosts[3])
+		for _, h := range r.hosts {
+			h.door.set(func(d *door) { d.loseAnswers = false })
+		}
+		longest := r.serveThrough(5*time.Second, r.hosts[3])
+		require.Less(t, longest, 4*time.Second)
+		r.noFault()
+	})
+}
+
+// A node that alone can't reach the store loses its keys to others, and never shares them.
+func TestNodeCutOffFromTheStore(t *testing.T) {
+	r := newRig(t, 3)
+	r.hosts[1].door.set(func(d *door) { d.down = true })
+	r.serveThrough(leaseTerm+4*time.Second, r.hosts[0])
+	r.noFault()
+	require.Eventually(t, func() bool {
+		for _, row := range r.hosts[0].node.state.view.Load().Tables["keyed"].Rows {
+			if row.Owner.Host == r.hosts[1].node.settings.Host {
+				return false
+			}
+		}
+		return true
+	}, 15*time.Second, 100*time.Millisecond, "its ranges have other owners")
+	r.hosts[1].door.set(func(d *door) { d.down = false })
+	r.serveThrough(3*time.Second, r.hosts[0])
+	r.noFault()
+}
+
+// Guards against a reader of standard output that stalls and stops the process with it.
+func TestStalledOutputDropsLines(t *testing.T) {
+	reader, writer := io.Pipe() // Nobody reads.
+	defer reader.Close()
+	out := newOutput(writer)
+	l := newLogger(out, "n")
+	lines := newLines(l, out)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 2 * outputQueue {
+			l.Info().Msg("line")
+			lines.failure(func(l *logger) { l.Info().Msg("failure") })
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("logging blocks")
+	}
+	require.Positive(t, out.dropped.Load())
+	require.Positive(t, lines.dropped.Load())
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,168 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// serve answers each request on a connection with what script returns for its number, and closes the connection if
+// that ends in "!close".
+func serve(t *testing.T, script func(n int, r *http.Request) string) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					text, last := strings.CutSuffix(script(n, r), "!close")
+					if _, err := io.WriteString(c, text); err != nil || last {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return NewClient(listener.Addr().String())
+}
+
+func get(id string, once bool) *Request {
+	return &Request{
+		Method: http.MethodGet, Path: "/x", Host: "h", Header: http.Header{"Id": {id}}, Once: once,
+		Belongs: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func answerOf(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func TestAnswersOfOtherRequestsAreSkipped(t *testing.T) {
+	c := serve(t, func(n int, r *http.Request) string {
+		return answerOf("other", "no") + answerOf(r.Header.Get("Id"), "yes")
+	})
+	a, err := c.Do(t.Context(), get("1", false))
+	require.NoError(t, err)
+	require.Equal(t, "yes", string(a.Body))
+}
+
+// Guards against a second answer, which belongs to nobody, reaching the next request.
+func TestSecondAnswerIsNotUsed(t *testing.T) {
+	c := serve(t, func(n int, r *http.Request) string {
+		id := r.Header.Get("Id")
+		return answerOf(id, "yes") + answerOf(id, "no")
+	})
+	for _, id := range []string{"1", "2", "3"} {
+		a, err := c.Do(t.Context(), get(id, false))
+		require.NoError(t, err)
+		require.Equal(t, "yes", string(a.Body), id)
+	}
+}
+
+func TestBrokenAnswersAreErrors(t *testing.T) {
+	for name, text := range map[string]string{
+		"short body":   "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nshort!close",
+		"short chunks": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n!close",
+		"no HTTP":      "what is this\r\n\r\n!close",
+		"nothing":      "!close",
+		"other only":   answerOf("9", "no") + "!close",
+	} {
+		c := serve(t, func(int, *http.Request) string { return text })
+		_, err := c.Do(t.Context(), get("1", false))
+		require.ErrorIs(t, err, ErrBroken, name)
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithTheConnection(t *testing.T) {
+	c := serve(t, func(int, *http.Request) string { return "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole!close" })
+	a, err := c.Do(t.Context(), get("1", false))
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(a.Body))
+}
+
+func TestRefusedConnectionProvesTheEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	c := NewClient(listener.Addr().String())
+	alive, err := c.Alive(t.Context())
+	require.NoError(t, err)
+	require.True(t, alive)
+	require.NoError(t, listener.Close())
+	c.Reset()
+	_, err = c.Do(t.Context(), get("1", true))
+	require.ErrorIs(t, err, ErrNotSent)
+	require.ErrorIs(t, err, ErrRefused)
+	alive, err = c.Alive(t.Context())
+	require.NoError(t, err)
+	require.False(t, alive)
+}
+
+// Guards against a request that can't be repeated being lost on a connection that the target has forgotten.
+func TestRequestThatRunsOnceTakesNoIdleConnection(t *testing.T) {
+	connections := make(chan int, 10)
+	c := serve(t, func(n int, r *http.Request) string {
+		connections <- n
+		return answerOf(r.Header.Get("Id"), "yes")
+	})
+	_, err := c.Do(t.Context(), get("1", true))
+	require.NoError(t, err)
+	time.Sleep(maxIdleOnce + 50*time.Millisecond)
+	_, err = c.Do(t.Context(), get("2", true))
+	require.NoError(t, err)
+	_, err = c.Do(t.Context(), get("3", true))
+	require.NoError(t, err)
+	require.Equal(t, []int{0, 0, 1}, []int{<-connections, <-connections, <-connections})
+}
+
+func TestCallerWhoLeavesEndsTheRequest(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	c := serve(t, func(int, *http.Request) string { <-release; return "!close" })
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Do(ctx, get("1", false))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
+func TestBodiesArriveWhole(t *testing.T) {
+	got := make(chan string, 2)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		got <- string(data)
+		w.Header().Set("Id", r.Header.Get("Id"))
+	}))
+	defer l.Close()
+	client := NewClient(l.Addr().String())
+	r := get("1", false)
+	r.Method, r.Body = http.MethodPost, []byte("in memory")
+	_, err = client.Do(t.Context(), r)
+	require.NoError(t, err)
+	require.Equal(t, "in memory", <-got)
+	r = get("2", false)
+	r.Method, r.Stream, r.Length = http.MethodPost, strings.NewReader("still arriving"), -1
+	_, err = client.Do(t.Context(), r)
+	require.NoError(t, err)
+	require.Equal(t, "still arriving", <-got)
+}
