--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -214,6 +214,8 @@
 	Host string `json:"host"`
 	// Round counts the changes of the coordinator.
 	Round uint64 `json:"round"`
+	// Resigned says that the host acts as the coordinator no more, and that no earlier one can.
+	Resigned bool `json:"resigned,omitempty"`
 }
 
 // Encode writes the record.
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -13,6 +13,13 @@
 	// Relay is the coordinator's address for reports between polls.
 	Relay string `json:"relay"`
 	Round uint64 `json:"round"`
+	// Term is the term of the node's target that the coordinator has not revoked; 0 if it says nothing about it. Process and
+	// Reported are the Process and the Sent of the last report that it had received, and AuthorityMs is how long the coordinator is certain to
+	// be the only one, in milliseconds.
+	Term        uint64 `json:"term,omitempty"`
+	Process     uint64 `json:"process,omitempty"`
+	Reported    int64  `json:"reported,omitempty"`
+	AuthorityMs int64  `json:"authority_ms,omitempty"`
 	// Config is the store's version of the configuration that the coordinator read last.
 	Config uint64 `json:"config,omitempty"`
 	// Evacuated lists the zones that were out of service at EvacuatedAt, a revision of the store.
@@ -29,6 +36,9 @@
 	Host string `json:"host"`
 	// Stamp is that of the node's view.
 	Stamp uint64 `json:"stamp"`
+	// Process is a random number of the node's process, and Sent when it made the report, on its own clock.
+	Process uint64 `json:"process"`
+	Sent    int64  `json:"sent"`
 	// Refused says that the node knows a later coordinator.
 	Refused bool `json:"refused,omitempty"`
 	// Record is the host's record as its node knows it.
--- a/internal/relay/clientconn.go
+++ b/internal/relay/clientconn.go
@@ -20,7 +20,9 @@
 	// readBuffer is the read buffer of a connection. 600 connections need 19 MiB.
 	readBuffer = 32 << 10
 	// probeInterval is how often a silent connection with streams is probed.
-	probeInterval = time.Second
+	probeInterval = 400 * time.Millisecond
+	// idleInterval is how often a connection without streams is looked at.
+	idleInterval = 5 * time.Second
 	// maxUnanswered is the number of probes without an answer after which a connection with streams counts as lost. A
 	// frozen server has lost its lease long before.
 	maxUnanswered = 2
@@ -140,7 +142,7 @@
 func (c *clientConn) readAll() error {
 	var silence prober
 	for {
-		_ = c.net.SetReadDeadline(time.Now().Add(probeInterval)) // A closed connection fails the read.
+		interval := c.await()
 		n, err := c.net.Read(c.buffer)
 		if n > 0 {
 			silence.heard()
@@ -151,7 +153,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			if err := c.probe(&silence); err != nil {
+			if err := c.probe(&silence, interval); err != nil {
 				return err
 			}
 		default:
@@ -160,9 +162,22 @@
 	}
 }
 
-// prober decides what to do with a connection that has been silent for probeInterval.
+// await sets the read deadline: a connection without streams has no answer to wait for. A closed connection fails the read.
+func (c *clientConn) await() time.Duration {
+	if c.load() == 0 {
+		_ = c.net.SetReadDeadline(time.Now().Add(idleInterval))
+		if c.load() == 0 {
+			return idleInterval // A stream that starts from here on sets the deadline itself.
+		}
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(probeInterval))
+	return probeInterval
+}
+
+// prober decides what to do with a silent connection.
 type prober struct {
-	quiet, unanswered int
+	quiet      time.Duration
+	unanswered int
 }
 
 // heard records that something arrived.
@@ -170,11 +185,11 @@
 
 // silent returns whether to probe the server, and whether the connection is lost. Silence while nothing was asked for says
 // nothing, so that only unanswered probes count.
-func (p *prober) silent(streams int) (probe, lost bool) {
-	p.quiet++
+func (p *prober) silent(streams int, waited time.Duration) (probe, lost bool) {
+	p.quiet += waited
 	if streams == 0 {
 		p.unanswered = 0
-		return false, time.Duration(p.quiet)*probeInterval >= maxIdle
+		return false, p.quiet >= maxIdle
 	}
 	if p.unanswered >= maxUnanswered {
 		return false, true
@@ -184,10 +199,10 @@
 }
 
 // probe looks after a connection that has been silent.
-func (c *clientConn) probe(silence *prober) error {
+func (c *clientConn) probe(silence *prober, waited time.Duration) error {
 	c.out.trim()
 	streams := c.load()
-	probe, lost := silence.silent(streams)
+	probe, lost := silence.silent(streams, waited)
 	switch {
 	case lost && streams > 0:
 		return errs.New(errs.Unavailable, "", "the server left %d probes unanswered", maxUnanswered)
@@ -281,6 +296,9 @@
 		}
 		c.reserved--
 		c.streams[s.id] = s
+		if len(c.streams) == 1 {
+			_ = c.net.SetReadDeadline(time.Now().Add(probeInterval)) // A closed connection fails the read.
+		}
 		return nil
 	})
 	if err != nil {
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -39,19 +39,27 @@
 	// fetched is when the node last read the configuration by itself.
 	fetched clock.Instant
 
-	leads   bool
-	busy    bool // a call about the lead is under way
-	round   uint64
-	stop    context.CancelFunc
-	began   clock.Instant
+	leads bool
+	// leadVersion is the store's version of the record that names this node.
+	leadVersion uint64
+	busy        bool // a call about the lead is under way
+	round       uint64
+	stop        context.CancelFunc
+	began       clock.Instant
+	// confirmed is when the last check was sent that showed this node as the coordinator.
+	confirmed clock.Instant
+	// settled is when the words of the last coordinator have certainly run out.
+	settled clock.Instant
 	heard   clock.Instant // when the store last answered the watch
 	members map[string]*polledNode
 	revoked map[keyspace.Owner]clock.Instant
 	// balanced holds when ranges of a service were last moved for balance.
 	balanced map[string]clock.Instant
 	// expected holds the demand of ranges that new owners have not measured yet.
-	expected   []placement.Expected
-	writing    map[string]bool // objects with a write under way
+	expected []placement.Expected
+	writing  map[string]bool // objects with a write under way
+	// revoking holds the terms that this coordinator has tried to revoke; it never gives its word for them again.
+	revoking   map[keyspace.Owner]bool
 	crashes    map[uint64]map[string]int
 	quarantine []uint64
 }
@@ -88,6 +96,10 @@
 	}
 	c.gate.setQuarantine(p.Quarantine)
 	c.hear(p)
+	if p.Term != 0 && p.Process == c.process {
+		owner := keyspace.Owner{Host: c.settings.Host, Term: p.Term}
+		c.member.holder.Word(owner, clock.Instant(p.Reported), time.Duration(p.AuthorityMs)*time.Millisecond)
+	}
 	return c.member.report(now)
 }
 
@@ -111,6 +123,7 @@
 // refresh reads the operator's objects while this node leads, because a watch may miss changes.
 func (c *coordinator) refresh(ctx context.Context) {
 	for sleep(ctx, refreshInterval) {
+		c.checkLead(ctx)
 		c.fetchConfig(ctx)
 		if changes, revision, err := c.listKind(ctx, platform.EvacuationKind); err == nil {
 			c.applyEvacuations(changes, revision, true)
@@ -123,6 +136,31 @@
 	}
 }
 
+// checkLead reads whether this node still leads.
+func (c *coordinator) checkLead(ctx context.Context) {
+	sent := c.clock.Now()
+	o, err := c.store.Get(ctx, fleet.LeadKind, fleet.CoordinatorName)
+	if err != nil {
+		return // The authority runs out unless a later check succeeds.
+	}
+	var lead fleet.Lead
+	err = json.Unmarshal(o.Value, &lead)
+	c.post(func(clock.Instant) {
+		switch {
+		case ctx.Err() != nil || !c.leads:
+		case err != nil || lead.Host != c.settings.Host || lead.Round != c.round:
+			c.resign("the store names another coordinator")
+		default:
+			c.confirmed = max(c.confirmed, sent)
+		}
+	})
+}
+
+// authority returns how long this node is certain to be the only coordinator that can have ranges reassigned.
+func (c *coordinator) authority(now clock.Instant) time.Duration {
+	return max(0, c.confirmed.Add(leadTerm-leadMargin).Sub(now))
+}
+
 // take puts a newer view in force at this node.
 func (c *coordinator) take(now clock.Instant, v *fleet.View) {
 	c.state.view.Store(v)
@@ -167,7 +205,7 @@
 	c.busy = true
 	c.spread = spread()
 	c.background(func(ctx context.Context) func(clock.Instant) {
-		round, err := c.takeLead(ctx)
+		lead, version, settled, err := c.takeLead(ctx)
 		var v *fleet.View
 		if err == nil {
 			v, err = c.list(ctx)
@@ -178,13 +216,18 @@
 				c.polled = after.Add(-leadSilence + storeRetry) // Others may have been faster.
 				return
 			}
-			c.lead(after, round, v)
+			c.settled = after.Add(leadTerm)
+			if settled {
+				c.settled = after
+			}
+			c.confirmed, c.leadVersion = now, version
+			c.lead(after, lead.Round, v)
 		}
 	})
 }
 
-// takeLead writes this node as the coordinator.
-func (c *coordinator) takeLead(ctx context.Context) (uint64, error) {
+// takeLead writes this node as the coordinator. settled says that no earlier coordinator's words can be in force.
+func (c *coordinator) takeLead(ctx context.Context) (lead fleet.Lead, version uint64, settled bool, err error) {
 	var old fleet.Lead
 	o, err := c.store.Get(ctx, fleet.LeadKind, fleet.CoordinatorName)
 	if err == nil {
@@ -192,11 +235,29 @@
 			event.ObjectUnread.On(c.log).Str("object", o.Name).Err(err).Send() // It is replaced.
 		}
 	} else if !errs.Is(err, errs.NotFound) {
-		return 0, err
+		return lead, 0, false, err
 	}
-	lead := fleet.Lead{Host: c.settings.Host, Round: max(old.Round, o.Version) + 1}
-	_, err = c.store.Put(ctx, fleet.LeadKind, fleet.CoordinatorName, lead.Encode(), o.Version)
-	return lead.Round, err
+	lead = fleet.Lead{Host: c.settings.Host, Round: max(old.Round, o.Version) + 1}
+	version, err = c.store.Put(ctx, fleet.LeadKind, fleet.CoordinatorName, lead.Encode(), o.Version)
+	return lead, version, o.Version == 0 || old.Resigned, err
+}
+
+// leave gives the lead up for good, so that the next coordinator does not wait for this one's words.
+func (c *coordinator) leave(now clock.Instant) {
+	if !c.leads {
+		return
+	}
+	settled := now >= c.settled
+	c.resign("the node stops")
+	c.background(func(ctx context.Context) func(clock.Instant) {
+		if settled {
+			last := fleet.Lead{Host: c.settings.Host, Round: c.round, Resigned: true}
+			if _, err := c.store.Put(ctx, fleet.LeadKind, fleet.CoordinatorName, last.Encode(), c.leadVersion); err != nil {
+				event.TableRefused.On(c.log).Str("object", fleet.CoordinatorName).Err(err).Send() // The next one waits.
+			}
+		}
+		return func(clock.Instant) {}
+	})
 }
 
 // list reads the whole view.
@@ -223,6 +284,7 @@
 	c.revoked = map[keyspace.Owner]clock.Instant{}
 	c.balanced = map[string]clock.Instant{}
 	c.writing = map[string]bool{}
+	c.revoking = map[keyspace.Owner]bool{}
 	c.expected = nil
 	c.crashes = map[uint64]map[string]int{}
 	event.LeadTaken.On(c.log).Uint64("round", round).Uint64("revision", v.Revision).Send()
@@ -300,6 +362,9 @@
 		}
 		if host == c.settings.Host {
 			n.Report, n.Answered = c.member.report(now), now
+			if t.State == fleet.Serving && !c.revoking[t.Owner()] {
+				c.member.holder.Word(t.Owner(), now, c.authority(now))
+			}
 			continue
 		}
 		if n.polling || now.Sub(n.sent) < pollInterval && n.stamp >= stamp && n.operator == operator {
@@ -333,6 +398,9 @@
 	if n.stamp < stamp {
 		p.View = v
 	}
+	if n.Report != nil && (t.State == fleet.Serving || t.State == fleet.Leaving) && !c.revoking[t.Owner()] {
+		p.Term, p.Process, p.Reported, p.AuthorityMs = t.Term, n.Report.Process, n.Report.Sent, c.authority(now).Milliseconds()
+	}
 	n.polling, n.sent = true, now
 	round := c.round
 	c.background(func(ctx context.Context) func(clock.Instant) {
@@ -366,9 +434,7 @@
 			c.plan(now)
 		}
 	}
-	if len(r.Released) > 0 {
-		c.plan(now)
-	}
+	c.plan(now)
 }
 
 // tell sends the node's own report to the coordinator between polls.
@@ -426,7 +492,7 @@
 func (c *coordinator) noteRevoked(now clock.Instant, v *fleet.View) {
 	for _, t := range v.Targets {
 		if _, seen := c.revoked[t.Owner()]; !seen && t.State == fleet.Revoked {
-			c.revoked[t.Owner()] = now
+			c.revoked[t.Owner()] = max(now, c.settled.Add(-leaseTerm))
 		}
 	}
 }
@@ -443,11 +509,12 @@
 		line.Int("lease_ms", int(n.Report.LeaseMs))
 	}
 	line.Send()
+	c.revoking[t.Owner()] = true
 	want := *t
 	want.State = fleet.Revoked
 	c.put(now, name, want.Encode(), t.Version, func(after clock.Instant, version uint64) {
 		want.Version = version
-		c.revoked[want.Owner()] = after
+		c.revoked[want.Owner()] = max(after, c.settled.Add(-leaseTerm))
 		c.take(after, c.state.view.Load().With(&want))
 	})
 }
--- a/internal/sidecar/demand.go
+++ b/internal/sidecar/demand.go
@@ -11,9 +11,9 @@
 
 const (
 	// demandWindow is the length of one window of the demand.
-	demandWindow = 500 * time.Millisecond
-	// demandWeight is the weight of the newest window: most of the demand is that of the last second and a half.
-	demandWeight = 0.4
+	demandWindow = 250 * time.Millisecond
+	// demandWeight is the weight of the newest window: most of the demand is that of the last second.
+	demandWeight = 0.3
 	// maxSegments bounds the segments of a report.
 	maxSegments = 48
 	// minSegment is the demand below which keys are not worth a segment of their own, in slots.
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,6 +65,8 @@
 	*node
 	dispatch *dispatch.Controller
 	demand   demand
+	// overloaded counts requests refused for overload since the last control tick.
+	overloaded atomic.Int64
 
 	mu sync.Mutex
 	// running counts requests at the target by fingerprint; broken holds those whose connection broke lately.
@@ -312,6 +315,8 @@
 		kind := answer.Shed
 		if refused.Reason == dispatch.Cold {
 			kind = answer.Cold
+		} else {
+			g.overloaded.Add(1)
 		}
 		return nil, &refusal{kind, refused.RetryAfter, string(refused.Reason)}
 	}
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -19,6 +19,10 @@
 	quietBeats = 1.4
 	// probeInterval is the time between two looks.
 	probeInterval = 150 * time.Millisecond
+	// complainFrom is the number of requests refused for overload within a tick from which the node reports at once.
+	complainFrom = 4
+	// complainInterval is the time between two such reports.
+	complainInterval = 450 * time.Millisecond
 	// replyTimeout bounds the wait of a heartbeat for the control goroutine; the target gives up after 1 s.
 	replyTimeout = 700 * time.Millisecond
 )
@@ -38,11 +42,12 @@
 	// left says that the target has deregistered, dead that it has ended.
 	left, dead bool
 	// suspect says that a request found the connection broken.
-	suspect  bool
-	probing  bool
-	probedAt clock.Instant
-	released int
-	lateLogs int
+	suspect    bool
+	probing    bool
+	probedAt   clock.Instant
+	released   int
+	lateLogs   int
+	complained clock.Instant
 }
 
 func newMember(n *node) *member {
@@ -324,15 +329,26 @@
 func (m *member) tick(now clock.Instant) {
 	m.watchTarget(now)
 	m.reconcile(now)
-	if m.loaded && !m.busy && now >= m.retryAt && m.record != nil && now.Sub(m.checked) >= checkInterval {
+	if m.loaded && !m.busy && now >= m.retryAt && m.record != nil && m.holder.Valid() && m.holder.Lease(now) < checkBelow && now.Sub(m.checked) >= checkPause {
+		m.checked = now
 		m.load(now)
 	}
-	if lease := m.holder.Lease(now); m.holder.Owner().Term != 0 && lease < leaseTerm/2 && lease > 0 {
+	if lease := m.holder.Lease(now); m.holder.Owner().Term != 0 && lease < leaseTerm/3 && lease > 0 {
 		if m.lateLogs++; m.lateLogs%4 == 1 {
 			event.LeaseShort.On(m.log).Str("left", lease.Round(time.Millisecond).String()).Send()
 		}
 	}
 	m.nudge(now)
+	m.complain(now)
+}
+
+// complain reports to the coordinator at once when the target is overloaded, so that ranges move before the next poll.
+func (m *member) complain(now clock.Instant) {
+	overloaded := m.gate.overloaded.Swap(0)
+	if overloaded >= complainFrom && now.Sub(m.complained) >= complainInterval {
+		m.complained = now
+		m.coordinator.tell(m.report(now))
+	}
 }
 
 // watchTarget looks whether the target still listens if it is silent or a request found its connection broken. A refused
@@ -369,6 +385,8 @@
 	last, lastAt := m.holder.Last()
 	r := &fleet.Report{
 		Host:     m.settings.Host,
+		Process:  m.process,
+		Sent:     int64(now),
 		Stamp:    m.state.view.Load().Stamp(),
 		LeaseMs:  m.holder.Lease(now).Milliseconds(),
 		ColdMs:   max(0, (last.Cold - now.Sub(lastAt)).Milliseconds()),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -50,6 +50,8 @@
 	upstream *upstream.Client
 	relay    *relay.Client
 
+	// process tells this process from earlier ones of the host.
+	process uint64
 	// applying orders changes of the configuration and of the evacuated zones.
 	applying sync.Mutex
 
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	stdlog "log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -63,7 +64,7 @@
 		return nil, err
 	}
 	n := &node{
-		settings: s, bounds: bounds, clock: clock.Boot{}, log: l, lines: newLines(l, out), metrics: m, state: newState(),
+		settings: s, bounds: bounds, clock: clock.Boot{}, log: l, lines: newLines(l, out), metrics: m, state: newState(), process: rand.Uint64(),
 		upstream: upstream.NewClient(s.Target), relay: relay.NewClient(relay.ClientOptions{Secret: relaySecret}),
 		control: make(chan func(clock.Instant), controlQueue), ctx: context.Background(),
 	}
@@ -152,11 +153,7 @@
 func (n *node) stop(s *servers, r *relay.Server) error {
 	event.SidecarStopping.On(n.log).Send()
 	n.state.draining.Store(true)
-	n.post(func(now clock.Instant) {
-		if n.coordinator.leads {
-			n.coordinator.resign("the node stops")
-		}
-	})
+	n.post(n.coordinator.leave)
 	time.Sleep(leaveTime)
 	left := n.bounds.Grace - leaveTime - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), left)
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -15,13 +15,21 @@
 
 // Durations of the node. docs/settings.md lists them with their sources.
 const (
-	// leaseTerm is how long after a lease check grants may last: an outage of the store of leaseTerm less
-	// checkInterval goes unnoticed, and a silent host is taken over after leaseTerm.
-	leaseTerm = 8 * time.Second
+	// leaseTerm is how long after a lease check, or after the report that the coordinator's word answers, grants may last.
+	// A silent host is taken over after pollSilence and leaseTerm.
+	leaseTerm = 4 * time.Second
+	// leadTerm is how long after its last check of the lead a coordinator gives its word, and how long a new one
+	// waits for the words of the last. An outage of the store of leadTerm less refreshInterval goes unnoticed.
+	leadTerm = 10 * time.Second
+	// leadMargin covers the resolution of timers and the drift of clocks over leadTerm.
+	leadMargin = 300 * time.Millisecond
 	// usualHold bridges the restart of a node (about 1 s) and two lost heartbeats.
 	usualHold = 3500 * time.Millisecond
-	// checkInterval is the time between two lease checks.
-	checkInterval = 2 * time.Second
+	// checkBelow is the rest of the lease from which the node reads its record itself: the coordinator's word, which
+	// comes each second, has failed to come.
+	checkBelow = 2200 * time.Millisecond
+	// checkPause is the time between two such reads.
+	checkPause = 700 * time.Millisecond
 	// controlTick is how often time-driven decisions are made.
 	controlTick = 250 * time.Millisecond
 	// pollInterval is the time between two polls of a node.
@@ -29,7 +37,7 @@
 	// pollTimeout bounds a poll.
 	pollTimeout = 800 * time.Millisecond
 	// pollSilence is how long a node may leave polls unanswered before its term is revoked.
-	pollSilence = 2500 * time.Millisecond
+	pollSilence = 2200 * time.Millisecond
 	// refreshInterval is how often the coordinator reads the operator's objects: a watch may miss a change for seconds.
 	refreshInterval = 900 * time.Millisecond
 	// unpolled is how long a node goes without a poll before it reads the configuration by itself.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -120,6 +120,12 @@
 	}
 }
 
+// Word records that the coordinator said that the term is not revoked, after it had received a report that was sent at the
+// instant. bound is how long after that the coordinator's own authority lasts at least, counted from the report.
+func (h *Holder) Word(owner keyspace.Owner, reported clock.Instant, bound time.Duration) {
+	h.Check(owner, reported.Add(min(0, bound-h.options.LeaseTerm)))
+}
+
 // Revoke ends the term: nothing more is granted.
 func (h *Holder) Revoke() { h.valid = false }
 
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -118,6 +118,24 @@
 	require.Len(t, h.Released(at(0.4), moving), 1)
 }
 
+// The coordinator's word counts from the report that it answers, and no longer than the coordinator's own authority.
+func TestWordOfTheCoordinator(t *testing.T) {
+	h := started()
+	h.Word(self, at(5), 20*time.Second)
+	require.Equal(t, 7*time.Second, h.Lease(at(6)))
+	h.Word(self, at(6), 3*time.Second)
+	require.Equal(t, 7*time.Second, h.Lease(at(6)), "a shorter word takes nothing back")
+	h = started()
+	h.Word(self, at(5), 4*time.Second)
+	require.Equal(t, 3*time.Second, h.Lease(at(6)), "the coordinator's authority ends first")
+	h = started()
+	h.Word(keyspace.Owner{Host: "a", Term: 2}, at(5), 20*time.Second)
+	require.Equal(t, 2*time.Second, h.Lease(at(6)), "a word about an earlier term")
+	h.Revoke()
+	h.Word(self, at(6), 20*time.Second)
+	require.Zero(t, h.Lease(at(6)), "a delayed word after the revocation")
+}
+
 // Guards against a restarted node that registers the next term while its target holds ranges of a revoked one.
 func TestNewProcessDoesNotKnowThatHoldsHaveEnded(t *testing.T) {
 	h := NewHolder(at(0), options)
