--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -45,6 +45,8 @@
 	Record *Target `json:"record,omitempty"`
 	// LeaseMs is how long the node may go on granting without another check, in milliseconds.
 	LeaseMs int64 `json:"lease_ms"`
+	// BeatMs is the time until the target's next heartbeat, in milliseconds; only a heartbeat can grant or release.
+	BeatMs int64 `json:"beat_ms"`
 	// ColdMs is how long the target stays cold, in milliseconds.
 	ColdMs int64 `json:"cold_ms"`
 	// Demand is the work that arrived for the target lately, in slots kept busy.
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/keyspace"
 )
 
@@ -20,6 +21,11 @@
 	minSpread = 0.25
 	// fullEnough is the share of busy slots up to which an owner is filled.
 	fullEnough = 0.9
+	// gapWeight is how much busier a receiver may be whose heartbeat comes an interval sooner.
+	gapWeight = 0.2
+	// releaseTime is how long a target takes to report that it has released a range: it reports again within 100 ms,
+	// and the table is written then.
+	releaseTime = 150 * time.Millisecond
 	// maxSteps bounds the pairs of owners that exchange ranges in one step.
 	maxSteps = 5
 )
@@ -40,7 +46,7 @@
 			return
 		}
 		sort.SliceStable(warm, func(i, j int) bool { return warm[i].ratio() > warm[j].ratio() })
-		from, to := warm[0], warm[len(warm)-1]
+		from, to := warm[0], s.receiver(warm[0], warm[1:])
 		if from.ratio() < busyEnough || to.ratio() > roomEnough || from.ratio()-to.ratio() < minSpread {
 			return
 		}
@@ -50,6 +56,37 @@
 	}
 }
 
+// receiver returns the target that takes ranges from the donor: the least busy one, but rather one whose next heartbeat
+// follows soon after the donor's, since the keys are not served in between.
+func (s *service) receiver(from *candidate, others []*candidate) *candidate {
+	var best *candidate
+	bestCost := 0.0
+	for _, c := range others {
+		if cost := c.ratio() + gapWeight*s.gap(from, c); best == nil || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return best
+}
+
+// gap returns how long keys are not served on their way, in heartbeat intervals.
+func (s *service) gap(from, to *candidate) float64 {
+	if s.o.Heartbeat <= 0 {
+		return 0
+	}
+	released := upcoming(from.beat, s.in.Now, s.o.Heartbeat).Add(releaseTime)
+	granted := upcoming(to.beat, released, s.o.Heartbeat)
+	return granted.Sub(released).Seconds() / s.o.Heartbeat.Seconds()
+}
+
+// upcoming returns the first heartbeat from an instant on.
+func upcoming(beat, from clock.Instant, interval time.Duration) clock.Instant {
+	if late := from.Sub(beat); late > 0 {
+		beat = beat.Add((late + interval - 1) / interval * interval)
+	}
+	return beat
+}
+
 // shed moves ranges so that both targets become about equally busy. It reports whether something moved.
 func (s *service) shed(from, to *candidate) bool {
 	// Moving demand d (in slots of the donor) lowers the donor by d and raises the receiver by d x paces.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,6 +20,8 @@
 	LeaseTerm time.Duration
 	// Silence is how long a node may leave polls unanswered before its target is revoked.
 	Silence time.Duration
+	// Heartbeat is the interval of the targets' heartbeats.
+	Heartbeat time.Duration
 	// Gather is how long the first assignment waits for targets to register.
 	Gather time.Duration
 }
@@ -145,6 +147,8 @@
 	load float64
 	// pace is the service time relative to the mean of the service.
 	pace float64
+	// beat is when its next heartbeat is expected.
+	beat clock.Instant
 }
 
 func (c *candidate) slots() float64 { return float64(max(1, c.target.Slots)) }
@@ -167,6 +171,7 @@
 		if n := in.Nodes[host]; n != nil && n.Report != nil {
 			c.report = n.Report
 			c.load = n.Report.Demand
+			c.beat = n.Answered.Add(time.Duration(n.Report.BeatMs) * time.Millisecond)
 			c.cold = time.Duration(n.Report.ColdMs)*time.Millisecond > coldLeft
 		}
 		s.candidates = append(s.candidates, c)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -235,6 +235,26 @@
 	require.Empty(t, w.step(t).Tables, "the new owner reports none of it yet")
 }
 
+// The keys on the move are served again with the receiver's heartbeat, so that the one whose heartbeat comes next is
+// preferred among equals.
+func TestReceiverWithTheNextHeartbeat(t *testing.T) {
+	for name, beats := range map[string]map[string]int64{
+		"h2": {"h0": 100, "h1": 200, "h2": 300, "h3": 900},
+		"h3": {"h0": 100, "h1": 50, "h2": 200, "h3": 450},
+		"h1": {"h0": 900, "h1": 100, "h2": 500, "h3": 850},
+	} {
+		w := newWorld(4)
+		w.step(t)
+		w.hot(w.table().Rows[0].Owner.Host, keyspace.Range{From: 100, To: 299}, 20, 5)
+		for host, ms := range beats {
+			w.in.Nodes[host].Report.BeatMs = ms
+		}
+		o := options
+		o.Heartbeat = time.Second
+		require.Equal(t, name, Make(w.in, o).Tables["booking"].Moves[0].Owner.Host)
+	}
+}
+
 func TestBalancedFleetIsLeftAlone(t *testing.T) {
 	w := newWorld(4)
 	w.step(t)
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -479,7 +479,7 @@
 		}
 	}
 	c.noteRevoked(now, v)
-	p := placement.Make(in, placement.Options{LeaseTerm: leaseTerm, Silence: pollSilence, Gather: gatherTime})
+	p := placement.Make(in, placement.Options{LeaseTerm: leaseTerm, Silence: pollSilence, Gather: gatherTime, Heartbeat: c.settings.HeartbeatInterval()})
 	for _, host := range p.Revoke {
 		c.revoke(now, v.Targets[host])
 	}
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -389,6 +389,7 @@
 		Sent:     int64(now),
 		Stamp:    m.state.view.Load().Stamp(),
 		LeaseMs:  m.holder.Lease(now).Milliseconds(),
+		BeatMs:   lastAt.Add(m.settings.HeartbeatInterval()).Sub(now).Milliseconds(),
 		ColdMs:   max(0, (last.Cold - now.Sub(lastAt)).Milliseconds()),
 		Released: m.holder.Released(now, rows),
 		Crashes:  m.gate.crashes(now),
