--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -113,17 +113,30 @@
 	}
 	bounds, err := platform.ReadBounds(nil)
 	require.NoError(r.t, err)
+	n := r.node(s, bounds)
+	h := &rigHost{door: door}
+	h.start(n)
+	h.target = r.target(h, "i-"+ip, 1000)
+	return h
+}
+
+// node returns a node that does not run yet. RIG_LOG shows what it logs.
+func (r *rig) node(s *settings.Sidecar, bounds platform.Bounds) *node {
 	out := newOutput(io.Discard)
 	if os.Getenv("RIG_LOG") != "" {
 		out = newOutput(os.Stderr)
 	}
 	n, err := newNode(s, bounds, newLogger(out, s.Node), out)
 	require.NoError(r.t, err)
+	return n
+}
+
+// start runs the node.
+func (h *rigHost) start(n *node) {
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &rigHost{node: n, door: door, cancel: cancel, done: make(chan error, 1)}
-	go func() { h.done <- n.run(ctx) }()
-	h.target = r.target(h, "i-"+ip, 1000)
-	return h
+	done := make(chan error, 1)
+	h.node, h.cancel, h.done = n, cancel, done
+	go func() { done <- n.run(ctx); close(done) }()
 }
 
 func (r *rig) target(h *rigHost, instance string, born int64) *targetStandin {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -164,6 +164,9 @@
 	defer cancelOwn()
 	err1 := s.entrance.Shutdown(own)
 	err2 := r.Close(ctx)
+	for _, server := range []*http.Server{s.heartbeats, s.readiness, s.metrics} {
+		_ = server.Close() // Their callers ask again.
+	}
 	line := event.SidecarStopped.On(n.log)
 	if err1 != nil || err2 != nil {
 		line.Any("entrance", err1).Any("relay", err2)
