--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -97,9 +97,9 @@
 	return c
 }
 
-// Stamp is the highest revision that any part of the view comes from. A view with a higher stamp is newer.
+// Stamp is the highest version of any part of the view. A view with a higher stamp is newer.
 func (v *View) Stamp() uint64 {
-	stamp := v.Revision
+	stamp := uint64(0)
 	for _, t := range v.Targets {
 		stamp = max(stamp, t.Version)
 	}
@@ -109,6 +109,23 @@
 	return stamp
 }
 
+// Since returns the parts of the view that are newer than the stamp. Merged into a view with that stamp, they bring it up
+// to date but for deletions, which only a whole view shows.
+func (v *View) Since(stamp uint64) *View {
+	d := NewView()
+	for host, t := range v.Targets {
+		if t.Version > stamp {
+			d.Targets[host] = t
+		}
+	}
+	for service, t := range v.Tables {
+		if t.Version > stamp {
+			d.Tables[service] = t
+		}
+	}
+	return d
+}
+
 // Merge returns the newest state of both views. An object that only one of them has counts as deleted if the other
 // reflects a later revision.
 func (v *View) Merge(o *View) *View {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -59,3 +59,24 @@
 		require.NotNil(t, m.Tables["s"])
 	}
 }
+
+// Guards against the coordinator's link carrying the whole view to every node at each change.
+func TestSinceBringsAnOlderViewUpToDate(t *testing.T) {
+	v := NewView()
+	v.Revision = 30
+	for i, host := range []string{"a", "b", "c"} {
+		v.Targets[host] = &Target{Host: host, Version: uint64(10 + i)}
+	}
+	v.Tables["s"] = &Table{Version: 11}
+	older := NewView()
+	older.Revision = 10
+	older.Targets["a"] = v.Targets["a"]
+	require.Equal(t, uint64(10), older.Stamp())
+	d := v.Since(older.Stamp())
+	require.Len(t, d.Targets, 2)
+	m := older.Merge(d)
+	require.Equal(t, v.Targets, m.Targets)
+	require.Equal(t, v.Tables, m.Tables)
+	require.Equal(t, v.Stamp(), m.Stamp())
+	require.Empty(t, v.Since(v.Stamp()).Targets)
+}
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -396,7 +396,7 @@
 		p.Evacuated = append(p.Evacuated, zone)
 	}
 	if n.stamp < stamp {
-		p.View = v
+		p.View = v.Since(n.stamp)
 	}
 	if n.Report != nil && (t.State == fleet.Serving || t.State == fleet.Leaving) && !c.revoking[t.Owner()] {
 		p.Term, p.Process, p.Reported, p.AuthorityMs = t.Term, n.Report.Process, n.Report.Sent, c.authority(now).Milliseconds()
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -171,7 +171,8 @@
 		m.write(now, want)
 		return
 	}
-	if r := m.record; r != nil && r.State == fleet.Serving && m.holder.Owner() != r.Owner() {
+	// Without the table nothing is known to belong to the target, and a grant of nothing would release everything.
+	if r := m.record; r != nil && r.State == fleet.Serving && m.holder.Owner() != r.Owner() && m.state.listed.Load() {
 		m.begin(now, m.checked)
 	}
 }
@@ -315,8 +316,7 @@
 	m.record = want
 	event.TargetStateWrote.On(m.log).Str("state", string(want.State)).Uint64("term", want.Term).Uint64("version", version).Send()
 	if want.State == fleet.Serving && m.holder.Owner() != want.Owner() {
-		m.checked = sent
-		m.begin(now, sent)
+		m.checked = sent // reconcile begins the term.
 	} else if want.State != fleet.Down {
 		m.holder.Check(want.Owner(), sent)
 	}
@@ -395,6 +395,9 @@
 		Crashes:  m.gate.crashes(now),
 		Record:   m.record,
 	}
+	if !m.state.listed.Load() {
+		r.Stamp = 0 // The coordinator sends the whole view.
+	}
 	_, r.Times = m.gate.dispatch.Stats()
 	r.Demand, r.Segments = m.gate.demand.report(now, rows)
 	return r
--- /dev/null
+++ b/internal/sidecar/member_test.go
@@ -0,0 +1,39 @@
+package sidecar
+
+import (
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/keyspace"
+	"github.com/citronvane/citronvane/internal/settings"
+	"github.com/citronvane/citronvane/internal/tenure"
+	"github.com/citronvane/citronvane/platform"
+)
+
+// Guards against a restarted node that has read its record but not the table yet, and makes its target release everything.
+func TestNothingIsGrantedBeforeTheTableIsKnown(t *testing.T) {
+	out := newOutput(io.Discard)
+	bounds, err := platform.ReadBounds(nil)
+	require.NoError(t, err)
+	n, err := newNode(&settings.Sidecar{Host: "h", Service: "s", HeartbeatIntervalMs: 200, RelayPorts: []int{1, 2}, Store: settings.SidecarStore{Address: "127.0.0.1:1"}}, bounds, newLogger(out, "n"), out)
+	require.NoError(t, err)
+	m, now := n.member, n.clock.Now()
+	owner := keyspace.Owner{Host: "h", Term: 3}
+	m.loaded, m.checked = true, now
+	m.record = &fleet.Target{Host: "h", Relay: "h:1", Service: "s", Instance: "i", Born: 7, Term: 3, State: fleet.Serving, Slots: 18, Version: 5}
+	beat := func(sequence uint64) tenure.Grant {
+		return m.heartbeat(now, &tenure.Heartbeat{Instance: "i", Born: 7, Sequence: sequence, Service: "s", Slots: 18})
+	}
+	require.False(t, beat(1).Renew)
+	require.Zero(t, m.report(now).Stamp)
+	view := fleet.NewView()
+	view.Tables["s"] = &fleet.Table{Version: 4, Table: keyspace.Table{Fence: 1, Rows: []keyspace.Row{{Range: keyspace.Range{From: 0, To: 9}, Owner: owner, Fence: 1}}}}
+	n.state.view.Store(view)
+	n.state.listed.Store(true)
+	grant := beat(2)
+	require.True(t, grant.Renew)
+	require.Len(t, grant.Rows, 1)
+}
