--- a/internal/sidecar/standin_test.go
+++ b/internal/sidecar/standin_test.go
@@ -333,9 +333,7 @@
 		s.history.granted(s, h)
 	}
 	for _, h := range old {
-		for _, part := range s.without(h) {
-			s.released = append(s.released, part)
-		}
+		s.released = append(s.released, s.without(h)...)
 	}
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -73,14 +73,12 @@
 	address string
 	mu      sync.Mutex
 	idle    []*conn
-	closed  bool
 }
 
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
 	since  time.Time
-	used   bool
 }
 
 // NewClient returns a client for the target's address.
@@ -118,14 +116,10 @@
 	}
 	now := time.Now()
 	c.mu.Lock()
-	for len(c.idle) > 0 {
-		k := c.idle[len(c.idle)-1]
-		if now.Sub(k.since) > limit {
-			break
-		}
-		c.idle = c.idle[:len(c.idle)-1]
+	if last := len(c.idle) - 1; last >= 0 && now.Sub(c.idle[last].since) <= limit {
+		k := c.idle[last]
+		c.idle = c.idle[:last]
 		c.mu.Unlock()
-		k.used = true
 		return k, nil
 	}
 	var old []*conn
