--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -119,7 +119,7 @@
 
 // Guards against an operators' guide that lacks a field of the configuration.
 func TestOperatorsGuideListsEveryField(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operators.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	for _, field := range []struct {
 		prefix string
--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -88,7 +88,7 @@
 	decoder.DisallowUnknownFields()
 	var next Document
 	if err := decoder.Decode(&next); err != nil {
-		return Document{}, errs.Wrap(err, errs.Invalid, "Correct the field; docs/operators.md lists all fields.", "patched document")
+		return Document{}, errs.Wrap(err, errs.Invalid, "Correct the field; docs/OPERATIONS.md lists all fields.", "patched document")
 	}
 	return next, nil
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -133,7 +133,7 @@
 		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 		decoder.DisallowUnknownFields()
 		if err := decoder.Decode(&body); err != nil {
-			writeError(w, errs.Wrap(err, errs.Invalid, "Send the JSON body that docs/operators.md describes.", "decode the command"))
+			writeError(w, errs.Wrap(err, errs.Invalid, "Send the JSON body that docs/OPERATIONS.md describes.", "decode the command"))
 			return
 		}
 		result, err := run(r, body)
