--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -118,9 +118,6 @@
 // unknownColdRate.
 func (c *Core) SetColdRate(perSecond float64) { c.coldRate = perSecond * coldHeadroom }
 
-// Reset forgets what runs, because the target has ended.
-func (c *Core) Reset() { c.running = 0 }
-
 func class(priority int) int { return min(max(priority, 0), classes-1) }
 
 // service returns the expected service time of a request in seconds.
--- a/internal/sidecar/lines.go
+++ b/internal/sidecar/lines.go
@@ -111,9 +111,6 @@
 	write(l.log)
 }
 
-// limited is failure for lines that are not about one request.
-func (l *lines) limited(write func(*logger)) { l.failure(write) }
-
 // success writes a line for one in successShare calls.
 func (l *lines) success(write func(*logger)) {
 	if l.answered.Add(1)%successShare == 1 {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -163,7 +163,7 @@
 		}
 	case n.ctx.Err() == nil:
 		n.metrics.storeUp.Store(false)
-		n.lines.limited(func(l *log.Logger) { event.StoreCallFailed.On(l).Str("call", call).Err(err).Send() })
+		n.lines.failure(func(l *log.Logger) { event.StoreCallFailed.On(l).Str("call", call).Err(err).Send() })
 	}
 }
 
