--- a/internal/relay/clientconn.go
+++ b/internal/relay/clientconn.go
@@ -162,9 +162,14 @@
 	}
 }
 
-// await sets the read deadline: a connection without streams has no answer to wait for. A closed connection fails the read.
+// await sets the read deadline: a connection without streams has no answer to wait for, and a retired one is closed at
+// once. A closed connection fails the read.
 func (c *clientConn) await() time.Duration {
 	if c.load() == 0 {
+		if c.isRetired() {
+			_ = c.net.SetReadDeadline(time.Now())
+			return 0
+		}
 		_ = c.net.SetReadDeadline(time.Now().Add(idleInterval))
 		if c.load() == 0 {
 			return idleInterval // A stream that starts from here on sets the deadline itself.
@@ -226,7 +231,8 @@
 			_, err = c.net.Write(data)
 		}
 		if err != nil {
-			c.fail(err)
+			// Answers that arrived before the loss are still to be read, so that the reader ends the streams.
+			c.out.fail(err)
 			return
 		}
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -25,6 +25,9 @@
 	maxConnections = 4096
 	// trimInterval is how often the buffers of idle connections are freed.
 	trimInterval = time.Second
+	// farewell bounds how long Close waits for clients to leave. They close a connection with their last answer; one that
+	// has not done so within the time in which probes find a lost server is stuck.
+	farewell = (maxUnanswered + 1) * probeInterval
 	// drainPoll is how often Close looks whether the streams have finished.
 	drainPoll = 5 * time.Millisecond
 )
@@ -189,8 +192,8 @@
 	return s.closeErr
 }
 
-// close takes no new streams, waits until the running ones have finished or ctx ends, and closes the
-// connections. It returns ctx.Err() if it cut streams off.
+// close takes no new streams, waits until the running ones have finished or ctx ends and their clients have left, and
+// closes the connections. It returns ctx.Err() if it cut streams off.
 func (s *Server) close(ctx context.Context) error {
 	s.draining.Store(true)
 	for _, conn := range s.connections() {
@@ -199,6 +202,8 @@
 	cut := s.drain(ctx)
 	if cut != nil {
 		event.RelayCut.On(s.opts.Logger).Err(cut).Send()
+	} else {
+		s.awaitClients(ctx)
 	}
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
@@ -214,6 +219,22 @@
 	return err
 }
 
+// awaitClients lets the clients close first: a connection that is closed while its client still sends is reset, and the
+// kernel drops what it has not delivered.
+func (s *Server) awaitClients(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, farewell)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for len(s.connections()) > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // awaitHandlers waits for handlers whose contexts have ended, but not for ones that ignore that.
 func (s *Server) awaitHandlers() {
 	done := make(chan struct{})
