--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -13,6 +13,9 @@
 type Grantor struct {
 	selves  []cluster.NodeID
 	holders map[cluster.NodeID]*holderState
+	// over is the highest incarnation of each name that is gone. Promises to revoke it hold for good, also for a holder that
+	// was paused all the while and does not know yet.
+	over map[string]uint64
 	// ticked and resumed detect pauses of this process, during which every holder seems silent.
 	ticked  clock.Instant
 	resumed clock.Instant
@@ -38,7 +41,7 @@
 
 // NewGrantor returns a grantor that answers for no incarnation yet.
 func NewGrantor() *Grantor {
-	return &Grantor{holders: map[cluster.NodeID]*holderState{}}
+	return &Grantor{holders: map[cluster.NodeID]*holderState{}, over: map[string]uint64{}}
 }
 
 // Adopt adds an incarnation of this process. It must be called before the record that names the
@@ -50,7 +53,7 @@
 
 // Answer takes a renewal and reports whether it is answered.
 func (g *Grantor) Answer(grantor, holder cluster.NodeID, now clock.Instant) bool {
-	if !g.Is(grantor) {
+	if !g.Is(grantor) || g.isOver(holder) {
 		return false
 	}
 	s := g.state(holder, now)
@@ -69,6 +72,9 @@
 	if !g.Is(grantor) {
 		return Vote{}
 	}
+	if g.isOver(holder) {
+		return Vote{Promised: true, Remaining: ExpiryWait}
+	}
 	s := g.state(holder, now)
 	alive := s.everAnswered && now.Sub(s.heard) < recentlyHeard && candidate.Name != holder.Name
 	if alive && !s.promised {
@@ -114,12 +120,22 @@
 	}
 	for id, s := range g.holders {
 		unused := !s.watched && !s.promised && now.Sub(s.heard) > forgetAfter
-		if unused || gone(id) {
+		isGone := gone(id)
+		if isGone {
+			g.over[id.Name] = max(g.over[id.Name], id.Incarnation)
+		}
+		if unused || isGone {
 			delete(g.holders, id)
 		}
 	}
 }
 
+// isOver reports whether the incarnation, or a later one of its name, was gone in a view that this process had.
+func (g *Grantor) isOver(holder cluster.NodeID) bool {
+	last, known := g.over[holder.Name]
+	return known && holder.Incarnation <= last
+}
+
 // Silent reports whether the record of the holder names this process and nothing was heard of the
 // holder for so long that every grant of this grantor has run out, plus a delay.
 func (g *Grantor) Silent(holder cluster.NodeID, delay time.Duration, now clock.Instant) bool {
@@ -130,5 +146,5 @@
 // Promised reports whether this grantor has promised not to answer the holder again.
 func (g *Grantor) Promised(holder cluster.NodeID) bool {
 	s := g.holders[holder]
-	return s != nil && s.promised
+	return g.isOver(holder) || s != nil && s.promised
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -242,6 +242,29 @@
 	require.False(t, g.Answer(node(0), node(9), returned), "a promise is kept")
 }
 
+// Guards against a holder that returns after its record is gone and holds its lease again, because the grantors dropped
+// their promises with the record.
+func TestPromiseOutlivesTheRecord(t *testing.T) {
+	old, next := node(9), cluster.NodeID{Name: node(9).Name, Incarnation: node(9).Incarnation + 1}
+	now := clock.Instant(time.Hour)
+	for name, promised := range map[string]bool{"grantor that voted": true, "grantor that did not vote": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewGrantor()
+			g.Adopt(node(0))
+			g.Follow([]cluster.NodeID{old}, func(cluster.NodeID) bool { return false }, now)
+			require.True(t, g.Answer(node(0), old, now))
+			if promised {
+				require.True(t, g.Vote(node(0), old, node(8), now.Add(GrantDuration)).Promised)
+			}
+			g.Follow(nil, func(id cluster.NodeID) bool { return id == old }, now.Add(time.Second))
+			require.False(t, g.Answer(node(0), old, now.Add(3*time.Second)), "the record is gone")
+			require.True(t, g.Vote(node(0), old, node(8), now.Add(3*time.Second)).Promised, "a late candidate")
+			require.True(t, g.Promised(old))
+			require.True(t, g.Answer(node(0), next, now.Add(3*time.Second)), "the next incarnation is served")
+		})
+	}
+}
+
 func fleet(t *rapid.T) []*cluster.Node {
 	var nodes []*cluster.Node
 	for i := range rapid.IntRange(1, 30).Draw(t, "nodes") {
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -132,6 +132,10 @@
 	:: msg[i] > 0 -> msg[i] = 0
 	/* The grantor votes for a revoker that has read the record. */
 	:: !promised[i] && !lost[i] && (firstSet(i) || i == 3 && changes) && (rvState[0] == 1 || rvState[1] == 1) -> promised[i] = 1
+#ifdef NO_MEMORY
+	/* The grantor forgets its promise with the record. */
+	:: promised[i] && recState == REVOKED -> promised[i] = 0
+#endif
 	/* The grantor restarts. Those of the first set are alike, so one of them is enough. */
 	:: !restarted && (i == 0 || i == 3 && changes) -> restarted = 1; restart(i)
 	fi
