--- a/internal/load/exclusive.go
+++ b/internal/load/exclusive.go
@@ -14,13 +14,18 @@
 	incarnation string
 }
 
-// checkOwner fails if two targets ran requests for one key in overlapping time, or if a target ran one
-// under an older epoch after another target had run one under a newer epoch. The journals' times are
+// String tells when, under which epoch and with which outcome the request ran.
+func (r ownedRun) String() string {
+	return fmt.Sprintf("%s epoch %d from %d to %d (%s)", r.incarnation, r.Epoch, r.StartNS, r.EndNS, r.Outcome)
+}
+
+// checkOwner fails if two targets ran requests for one key in overlapping time, or if a target began one
+// under an older epoch after another target had begun one under a newer epoch, also if that ended fenced. The journals' times are
 // comparable, because all targets of a check stand on one host.
 func checkOwner(c *collector) Check {
 	byKey := map[[2]string][]ownedRun{}
 	for id, e := range c.entries {
-		if e.Key == "" || !e.Ran() || e.EndNS == 0 {
+		if e.Key == "" || e.EndNS == 0 {
 			continue
 		}
 		key := [2]string{e.Service, e.Key}
@@ -45,19 +50,17 @@
 	newest := ownedRun{}
 	for _, run := range runs {
 		for incarnation, other := range last {
-			if incarnation != run.incarnation && other.EndNS > run.StartNS {
-				examples = append(examples, fmt.Sprintf("key %q ran on %s epoch %d from %d to %d and on %s epoch %d from %d to %d",
-					run.Key, other.incarnation, other.Epoch, other.StartNS, other.EndNS, run.incarnation, run.Epoch, run.StartNS, run.EndNS))
+			if run.Ran() && incarnation != run.incarnation && other.EndNS > run.StartNS {
+				examples = append(examples, fmt.Sprintf("key %q ran on %s and on %s", run.Key, other, run))
 			}
 		}
 		if run.Epoch < newest.Epoch {
-			examples = append(examples, fmt.Sprintf("key %q ran on %s epoch %d after epoch %d on %s",
-				run.Key, run.incarnation, run.Epoch, newest.Epoch, newest.incarnation))
+			examples = append(examples, fmt.Sprintf("key %q ran on %s after %s", run.Key, run, newest))
 		}
 		if run.Epoch >= newest.Epoch {
 			newest = run
 		}
-		if run.EndNS > last[run.incarnation].EndNS {
+		if run.Ran() && run.EndNS > last[run.incarnation].EndNS {
 			last[run.incarnation] = run
 		}
 	}
--- a/internal/target/standin/journal.go
+++ b/internal/target/standin/journal.go
@@ -16,7 +16,7 @@
 	// Cancelled means that the work was stopped before its effect: the client went away, the deadline
 	// passed, or the target fell over.
 	Cancelled Outcome = "cancelled"
-	// Fenced means that the check before the effect refused the run; it had no effect.
+	// Fenced means that the grant was over when the work ended, by itself or stopped, so that it had no effect.
 	Fenced Outcome = "fenced"
 )
 
--- a/internal/target/standin/serve.go
+++ b/internal/target/standin/serve.go
@@ -114,10 +114,14 @@
 func (t *Target) conclude(sequence uint64, req *request, err error) error {
 	outcome := Completed
 	switch {
+	case !t.allowed(req):
+		// The check refuses the effect of a run whose grant is over, whether or not its work was stopped before.
+		outcome = Fenced
+		if err == nil {
+			err = refusal(reasonFenced)
+		}
 	case err != nil:
 		outcome = Cancelled
-	case !t.allowed(req):
-		outcome, err = Fenced, refusal(reasonFenced)
 	}
 	t.journal.end(sequence, outcome, t.options.Clock.Now())
 	return err
--- a/internal/target/standin/target_test.go
+++ b/internal/target/standin/target_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -141,6 +142,25 @@
 	require.Equal(t, Fenced, f.outcome(t))
 }
 
+// Guards against a journal that leaves open whether a run took effect that a freeze of the target carried beyond its
+// grant and its deadline.
+func TestStoppedRunWithoutGrantIsFenced(t *testing.T) {
+	f := start(t, Options{Fenced: true, Node: "unused"}, func(b *Behaviour) { b.ServiceTime = config.Duration(time.Minute) })
+	f.grants.apply(0, granting(time.Second))
+	go func() {
+		for f.State().Running == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		f.clock.Advance(time.Second)
+	}()
+	headers := maps.Clone(keyed)
+	headers[target.HeaderDeadline] = "100"
+	stopped := f.post(t.Context(), "/", headers)
+	require.Equal(t, http.StatusGatewayTimeout, stopped.status)
+	require.Empty(t, stopped.notRun())
+	require.Equal(t, Fenced, f.outcome(t))
+}
+
 // Guards against work that goes on for a client that is gone, and against a target that was told not
 // to honour cancellation doing so.
 func TestCancellation(t *testing.T) {
