--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -129,7 +129,9 @@
 	}
 	for _, c := range h.controls {
 		running.Go(func() { c.Run(ctx, client{h}) })
+		h.mu.Lock() // Nodes that run already write; the view must not go back.
 		c.ViewChanged(h.view)
+		h.mu.Unlock()
 		c.TargetAnnounced(cluster.TargetInfo{Service: "svc", Address: "t", Incarnation: "1"}, false)
 	}
 	ready := func() bool {
@@ -147,8 +149,11 @@
 	limited, stop := context.WithTimeout(ctx, 20*time.Second)
 	defer stop()
 	require.NoError(t, h.controls["n1"].Drain(limited))
-	require.Empty(t, h.busy)
-	require.NotEmpty(t, h.imported)
+	h.mu.Lock() // Other nodes still hand over to each other.
+	busy, imported := h.busy, h.imported
+	h.mu.Unlock()
+	require.Empty(t, busy)
+	require.NotEmpty(t, imported)
 	require.NoError(t, h.controls["n1"].Leave(limited))
 	require.False(t, h.controls["n1"].Status().LeaseValid)
 	cancel()
--- a/internal/devfleet/rig_test.go
+++ b/internal/devfleet/rig_test.go
@@ -123,6 +123,12 @@
 // the booking hosts, and at rest.
 func (r *rig) waitBalanced() time.Duration {
 	r.t.Helper()
+	defer func() {
+		if r.t.Failed() {
+			status, err := r.status(r.Hosts[0])
+			r.t.Logf("status as %s sees it: %+v, error %v", r.Hosts[0].Spec.Name, status, err)
+		}
+	}()
 	return r.eventually(settleTimeout, "the fleet is balanced", func() bool { return r.balanced(r.Hosts...) })
 }
 
--- a/internal/relay/close_test.go
+++ b/internal/relay/close_test.go
@@ -85,7 +85,7 @@
 	require.NoError(t, err)
 	conn := raw.(*net.TCPConn)
 	defer func() { _ = conn.Close() }()
-	require.NoError(t, conn.SetReadBuffer(16 << 10))
+	require.NoError(t, conn.SetReadBuffer(16<<10))
 	challenge := make([]byte, headerSize+challengeSize)
 	_, err = io.ReadFull(conn, challenge)
 	require.NoError(t, err)
