--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -29,6 +29,9 @@
 	ownerWaitShare = 0.5
 	// ownerRetryAfter is when a caller may come back whose key has no owner: a planned move takes about one heartbeat.
 	ownerRetryAfter = 400 * time.Millisecond
+	// connectPatience is the time within which a reachable host takes a request: many round trips between zones. A caller who
+	// leaves sooner says nothing about the host.
+	connectPatience = 150 * time.Millisecond
 	// refusedLoad is the load that is assumed of a target that has just refused a request, in multiples of its slots.
 	refusedLoad = 2
 )
@@ -47,7 +50,7 @@
 		}
 		res := e.send(ctx, x, t)
 		res.host = t.Host
-		if ctx.Err() != nil || !e.again(x, t, res, tried) {
+		if ctx.Err() != nil || !e.again(ctx, x, t, res, tried) {
 			return better(last, res).comeBack()
 		}
 		last = better(last, res)
@@ -131,18 +134,27 @@
 	case <-changed:
 	case <-timer.C:
 	case <-ctx.Done():
-		return &refusal{answer.Deadline, 0, "caller_left"}
+		return gaveUp(ctx)
 	}
 	return nil
 }
 
+// gaveUp refuses a request whose context ended before it was sent.
+func gaveUp(ctx context.Context) *refusal {
+	reason := "caller_left"
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		reason = "deadline"
+	}
+	return &refusal{answer.Deadline, 0, reason}
+}
+
 // again decides whether the request goes out once more after the result, and prepares for it.
-func (e *entrance) again(x *exchange, t *fleet.Target, res *result, tried map[string]bool) bool {
+func (e *entrance) again(ctx context.Context, x *exchange, t *fleet.Target, res *result, tried map[string]bool) bool {
 	now := e.clock.Now()
 	reason := ""
 	switch {
 	case res.refusal != nil:
-		return e.elsewhere(x, t, res.refusal, tried)
+		return e.elsewhere(ctx, x, t, res.refusal, tried)
 	case res.err != nil:
 		reason = "broken"
 	case res.status == http.StatusInternalServerError:
@@ -159,7 +171,7 @@
 }
 
 // elsewhere decides whether a request that has not run is offered once more.
-func (e *entrance) elsewhere(x *exchange, t *fleet.Target, r *refusal, tried map[string]bool) bool {
+func (e *entrance) elsewhere(ctx context.Context, x *exchange, t *fleet.Target, r *refusal, tried map[string]bool) bool {
 	now := e.clock.Now()
 	if x.stream != nil || now >= x.deadline {
 		return false
@@ -178,14 +190,14 @@
 		if r.kind != answer.NotOwner && r.kind != answer.Draining || x.tries >= maxTries {
 			return false
 		}
-		return e.ownerChanged(x, t)
+		return e.ownerChanged(ctx, x, t)
 	}
 	tried[t.Host] = true
 	return r.kind != answer.Quarantined && r.kind != answer.Deadline
 }
 
 // ownerChanged waits for a view that names another owner than the one that refused.
-func (e *entrance) ownerChanged(x *exchange, t *fleet.Target) bool {
+func (e *entrance) ownerChanged(ctx context.Context, x *exchange, t *fleet.Target) bool {
 	limit := x.arrived.Add(time.Duration(ownerWaitShare * float64(x.route.Objective)))
 	for {
 		changed := e.state.waiting()
@@ -193,7 +205,7 @@
 			return true
 		}
 		wait := limit.Sub(e.clock.Now())
-		if wait <= 0 || await(context.Background(), changed, wait) != nil {
+		if wait <= 0 || await(ctx, changed, wait) != nil {
 			return false
 		}
 	}
@@ -218,6 +230,10 @@
 	} else {
 		res, load = e.remote(ctx, x, t, head)
 	}
+	if errors.Is(res.err, relay.ErrNotSent) && ctx.Err() != nil && e.clock.Now().Sub(now) < connectPatience {
+		e.pool.Answered(e.clock.Now(), t.Host, nil)
+		return &result{refusal: gaveUp(ctx)}
+	}
 	if errors.Is(res.err, relay.ErrNotSent) {
 		pause := e.pool.Unreachable(e.clock.Now(), t.Host)
 		return &result{refusal: &refusal{answer.TargetDown, max(pause, minRetryAfter), "host_unreachable"}}
--- /dev/null
+++ b/internal/sidecar/perform_test.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/answer"
+	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/ingress"
+	"github.com/citronvane/citronvane/internal/settings"
+	"github.com/citronvane/citronvane/platform"
+)
+
+func entranceFor(t *testing.T) *entrance {
+	out := newOutput(io.Discard)
+	bounds, err := platform.ReadBounds(nil)
+	require.NoError(t, err)
+	n, err := newNode(&settings.Sidecar{Host: "h", Service: "s", HeartbeatIntervalMs: 200, RelayPorts: []int{1, 2}, Store: settings.SidecarStore{Address: "127.0.0.1:1"}}, bounds, newLogger(out, "n"), out)
+	require.NoError(t, err)
+	t.Cleanup(n.relay.Close)
+	return n.entrance
+}
+
+// silentHost takes connections and says nothing.
+func silentHost(t *testing.T) *fleet.Target {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return &fleet.Target{Host: "other", Relay: listener.Addr().String()}
+}
+
+func exchangeOf(e *entrance) *exchange {
+	now := e.clock.Now()
+	return &exchange{route: &ingress.Route{Name: "r", Objective: time.Second}, key: -1, arrived: now, deadline: now.Add(time.Second)}
+}
+
+// Guards against a host that gets nothing for a while because a caller left before its request was sent there.
+func TestCallerWhoLeavesSaysNothingAboutTheHost(t *testing.T) {
+	e := entranceFor(t)
+	target := silentHost(t)
+	for cause, reason := range map[error]string{errDeadline: "deadline", context.Canceled: "caller_left"} {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		cancel(cause)
+		res := e.send(ctx, exchangeOf(e), target)
+		require.NotNil(t, res.refusal)
+		require.Equal(t, answer.Deadline, res.refusal.kind)
+		require.Equal(t, reason, res.refusal.reason)
+		require.Zero(t, e.pool.Ejected(e.clock.Now(), target.Host))
+	}
+}
+
+// Guards against a lost host that keeps getting requests because all its callers give up before the connection fails.
+func TestHostThatTakesNothingIsLeftOut(t *testing.T) {
+	e := entranceFor(t)
+	target := silentHost(t)
+	ctx, cancel := context.WithTimeout(context.Background(), connectPatience+20*time.Millisecond)
+	defer cancel()
+	res := e.send(ctx, exchangeOf(e), target)
+	require.NotNil(t, res.refusal)
+	require.Equal(t, answer.TargetDown, res.refusal.kind)
+	require.NotZero(t, e.pool.Ejected(e.clock.Now(), target.Host))
+}
