--- a/internal/sidecar/assign.go
+++ b/internal/sidecar/assign.go
@@ -7,6 +7,7 @@
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/keyspace"
 	"github.com/citronvane/citronvane/internal/placement"
 	"github.com/citronvane/citronvane/internal/store"
 )
@@ -27,7 +28,7 @@
 		return
 	}
 	in := &placement.Input{
-		Now: now, View: v, Nodes: map[string]*placement.Node{}, Revoked: c.revoked, Evacuated: map[string]bool{},
+		Now: now, View: v, Nodes: map[string]*placement.Node{}, Evacuated: map[string]bool{},
 		Keyed: map[string]bool{}, Began: c.began, Balanced: c.balanced, Expected: c.expected,
 	}
 	for host, n := range c.members {
@@ -42,6 +43,7 @@
 		}
 	}
 	c.noteRevoked(now, v)
+	in.Revoked = c.counting()
 	p := placement.Make(in, placement.Options{LeaseTerm: leaseTerm, Silence: pollSilence, Gather: gatherTime, Heartbeat: c.settings.HeartbeatInterval()})
 	for _, host := range p.Revoke {
 		c.revoke(now, v.Targets[host])
@@ -60,6 +62,19 @@
 	}
 }
 
+// counting returns the revocations that count: those before a check of the lead that showed this node as the coordinator. A
+// later coordinator has seen them when it began, and gave no word for the terms; before such a check, one may have begun
+// without them.
+func (c *coordinator) counting() map[keyspace.Owner]clock.Instant {
+	counting := make(map[keyspace.Owner]clock.Instant, len(c.revoked))
+	for o, since := range c.revoked {
+		if c.confirmed >= since {
+			counting[o] = since
+		}
+	}
+	return counting
+}
+
 // revoke ends the term of a target whose node is silent.
 func (c *coordinator) revoke(now clock.Instant, t *fleet.Target) {
 	name := fleet.TargetName(t.Host)
