--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -18,6 +18,13 @@
 	maxEject   = 3 * time.Second
 	// staleLoad is how long the load that an answer stated is believed.
 	staleLoad = 500 * time.Millisecond
+	// drawn is the number of targets of unknown load that are compared: two random ones are nearly as good as all with
+	// known loads.
+	drawn = 2
+	// ownZoneWeight is how much more often a target in the own zone is drawn, since bytes between zones cost.
+	ownZoneWeight = 2
+	// ownZoneBulkWeight is the same for large answers.
+	ownZoneBulkWeight = 16
 	// unknownService is the service time that is assumed for a target before its first answer.
 	unknownService = 50 * time.Millisecond
 )
@@ -68,38 +75,111 @@
 }
 
 // Choose returns the index of the candidate with the least expected wait, or -1 if there is none. tried holds the
-// hosts that had the request already.
+// hosts that had the request already. All nodes know the same targets as quick, so that a node compares only those whose load
+// it knows and a few that it draws: nodes that know nothing new would all choose the same one.
 func (p *Pool) Choose(now clock.Instant, candidates []Candidate, bulk bool, tried map[string]bool) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, bestCost := -1, time.Duration(0)
+	var open []int
 	for _, ejectedToo := range []bool{false, true} {
 		for i, c := range candidates {
-			q := p.peer(c.Host)
-			if tried[c.Host] || !ejectedToo && now < q.ejected {
-				continue
-			}
-			if cost := p.cost(now, q, c, bulk); best < 0 || cost < bestCost {
-				best, bestCost = i, cost
+			if !tried[c.Host] && (ejectedToo || now >= p.peer(c.Host).ejected) {
+				open = append(open, i)
 			}
 		}
-		if best >= 0 {
+		if len(open) > 0 {
 			break
 		}
 	}
+	usual := p.usual(candidates)
+	best, bestCost := -1, time.Duration(0)
+	for _, i := range p.known(now, candidates, open, bulk, usual) {
+		c := candidates[i]
+		if cost := p.cost(now, p.peer(c.Host), c, bulk, usual); best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
 	return best
 }
 
-// cost is the expected time to the answer, with a little noise that keeps nodes from choosing alike.
-func (p *Pool) cost(now clock.Instant, q *peer, c Candidate, bulk bool) time.Duration {
-	mean, busy := q.load.Mean, q.sent
-	if now.Sub(q.loadAt) < staleLoad {
-		busy = max(busy, q.load.Busy)
+// usualLoad is what is assumed of targets that have stated nothing lately.
+type usualLoad struct {
+	mean  time.Duration
+	ratio float64 // busy requests by slots, 1 at most: that one target is overloaded says little about the others
+}
+
+// usual returns the mean of what the candidates stated last.
+func (p *Pool) usual(candidates []Candidate) usualLoad {
+	u, stated := usualLoad{}, 0
+	for _, c := range candidates {
+		if l := p.peer(c.Host).load; l.Mean > 0 {
+			stated++
+			u.mean += l.Mean
+			u.ratio += float64(l.Busy) / float64(max(1, l.Slots))
+		}
+	}
+	if stated == 0 {
+		return usualLoad{mean: unknownService}
+	}
+	return usualLoad{u.mean / time.Duration(stated), min(1, u.ratio/float64(stated))}
+}
+
+// known returns the open candidates whose load is fresh, and drawn ones of the others. Those that are quicker are drawn more
+// often, in the ratio of the requests that they can bear.
+func (p *Pool) known(now clock.Instant, candidates []Candidate, open []int, bulk bool, usual usualLoad) []int {
+	var compared, stale []int
+	for _, i := range open {
+		if now.Sub(p.peer(candidates[i].Host).loadAt) < staleLoad {
+			compared = append(compared, i)
+		} else {
+			stale = append(stale, i)
+		}
+	}
+	for range min(drawn, len(stale)) {
+		total := 0.0
+		for _, i := range stale {
+			total += p.capacity(candidates[i], bulk, usual)
+		}
+		at := rand.Float64() * total
+		pick := 0
+		for pick < len(stale)-1 {
+			if at -= p.capacity(candidates[stale[pick]], bulk, usual); at < 0 {
+				break
+			}
+			pick++
+		}
+		compared = append(compared, stale[pick])
+		stale = append(stale[:pick], stale[pick+1:]...)
+	}
+	return compared
+}
+
+// capacity returns how many requests a second the target can bear, and more for one in the own zone.
+func (p *Pool) capacity(c Candidate, bulk bool, usual usualLoad) float64 {
+	mean := p.peer(c.Host).load.Mean
+	if mean == 0 {
+		mean = usual.mean
 	}
+	capacity := float64(max(1, c.Slots)) / mean.Seconds()
+	switch {
+	case c.Zone == p.zone && bulk:
+		capacity *= ownZoneBulkWeight
+	case c.Zone == p.zone:
+		capacity *= ownZoneWeight
+	}
+	return capacity
+}
+
+// cost is the expected time to the answer, with a little noise that keeps nodes from choosing alike.
+func (p *Pool) cost(now clock.Instant, q *peer, c Candidate, bulk bool, usual usualLoad) time.Duration {
+	mean, slots := q.load.Mean, max(1, c.Slots)
 	if mean == 0 {
-		mean = unknownService
+		mean = usual.mean
+	}
+	busy := max(q.sent, q.load.Busy)
+	if now.Sub(q.loadAt) >= staleLoad {
+		busy = max(q.sent, int(usual.ratio*float64(slots)))
 	}
-	slots := max(1, c.Slots)
 	cost := mean + time.Duration(float64(mean)*float64(busy)/float64(slots))
 	if busy >= slots {
 		cost += time.Duration(float64(mean) * float64(busy-slots+1) / float64(slots))
