--- a/internal/relay/clientconn.go
+++ b/internal/relay/clientconn.go
@@ -233,6 +233,7 @@
 		if err != nil {
 			// Answers that arrived before the loss are still to be read, so that the reader ends the streams.
 			c.out.fail(err)
+			c.retire()
 			return
 		}
 	}
--- a/internal/relay/close_test.go
+++ b/internal/relay/close_test.go
@@ -61,6 +61,8 @@
 	require.NoError(t, c.start(s, kindBodiless, nil))
 	require.Eventually(t, func() bool { return c.out.size() == 0 }, time.Second, time.Millisecond)
 	require.NoError(t, c.out.control(creditFrame(1, 1)))
+	require.Eventually(t, c.isRetired, time.Second, time.Millisecond, "new requests go over another connection")
+	require.Nil(t, c.open())
 	res, err := s.awaitHead()
 	require.NoError(t, err)
 	require.EqualValues(t, 200, res.Status)
