--- a/internal/entrance/relay_test.go
+++ b/internal/entrance/relay_test.go
@@ -45,6 +45,11 @@
 			v.Groups[cluster.GroupID{Service: "booking"}].Slices[i] = cluster.Slice{Epoch: 1, Owner: v.Nodes["a"].ID}
 		}
 	})
+	// The relay connects before the load: callers who wait for that too long get no_owner, which is not what is checked.
+	kind, _, got, err := f.do("POST", "/booking/first", "first", identity, "first")
+	require.NoError(t, err)
+	require.Empty(t, kind)
+	require.Equal(t, "first", got)
 	var wg sync.WaitGroup
 	for i := range 60 {
 		wg.Go(func() {
