--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -39,6 +39,8 @@
 	busy    bool
 	retryAt clock.Instant
 	checked clock.Instant // when the last lease check was sent
+	// departed is the instance that deregistered last.
+	departed string
 	// left says that the target has deregistered, dead that it has ended.
 	left, dead bool
 	// suspect says that a request found the connection broken.
@@ -72,11 +74,12 @@
 // Deregister records that the target leaves.
 func (m *member) Deregister(instance string) error {
 	m.post(func(now clock.Instant) {
-		if last, _ := m.holder.Last(); last.Instance != instance {
+		// A process that has just started knows no instance yet; the target says its farewell only once.
+		if last, _ := m.holder.Last(); last.Instance != "" && last.Instance != instance {
 			event.HeartbeatStale.On(m.log).Str("instance", instance).Str("call", "deregister").Send()
 			return
 		}
-		m.left = true
+		m.left, m.departed = true, instance
 		m.holder.Leave()
 		m.publish(now)
 		m.reconcile(now)
@@ -102,7 +105,7 @@
 	}
 	m.metrics.heartbeats("taken")
 	if last, _ := m.holder.Last(); last.Born != b.Born {
-		m.left = false
+		m.left = b.Instance == m.departed
 		m.upstream.Reset()
 		m.gate.lifeEnded(now, last.Instance)
 	}
--- a/internal/sidecar/member_test.go
+++ b/internal/sidecar/member_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/keyspace"
 	"github.com/citronvane/citronvane/internal/settings"
@@ -37,3 +38,19 @@
 	require.True(t, grant.Renew)
 	require.Len(t, grant.Rows, 1)
 }
+
+// Guards against a node that has just started, acknowledges its target's farewell and forgets it, because it has had no heartbeat
+// of the target yet (ombrios trouble-3, seed 512518103447).
+func TestFarewellBeforeTheFirstHeartbeatIsKept(t *testing.T) {
+	n := entranceFor(t).node
+	n.control = make(chan func(clock.Instant), 1)
+	m, now := n.member, n.clock.Now()
+	require.NoError(t, m.Deregister("i"))
+	(<-n.control)(now)
+	require.True(t, m.left)
+	m.heartbeat(now, &tenure.Heartbeat{Instance: "i", Born: 7, Sequence: 9, Service: "s", Slots: 18})
+	require.True(t, m.left, "a heartbeat that was under way")
+	require.False(t, n.state.own.Load().serving)
+	m.heartbeat(now, &tenure.Heartbeat{Instance: "next", Born: 8, Sequence: 1, Service: "s", Slots: 18})
+	require.False(t, m.left, "another life of the target")
+}
