--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -39,10 +39,10 @@
 	busy    bool
 	retryAt clock.Instant
 	checked clock.Instant // when the last lease check was sent
-	// departed is the instance that deregistered last.
+	// departed is the instance that has deregistered, as far as it is the current one or none is known yet.
 	departed string
-	// left says that the target has deregistered, dead that it has ended.
-	left, dead bool
+	// dead says that the target has ended.
+	dead bool
 	// suspect says that a request found the connection broken.
 	suspect    bool
 	probing    bool
@@ -79,7 +79,7 @@
 			event.HeartbeatStale.On(m.log).Str("instance", instance).Str("call", "deregister").Send()
 			return
 		}
-		m.left, m.departed = true, instance
+		m.departed = instance
 		m.holder.Leave()
 		m.publish(now)
 		m.reconcile(now)
@@ -87,6 +87,12 @@
 	return nil
 }
 
+// left reports whether the target has deregistered.
+func (m *member) left() bool {
+	last, _ := m.holder.Last()
+	return m.departed != "" && (last.Instance == "" || last.Instance == m.departed)
+}
+
 // Malformed records a heartbeat that can't be read.
 func (m *member) Malformed(err error) {
 	m.metrics.heartbeats("malformed")
@@ -105,7 +111,9 @@
 	}
 	m.metrics.heartbeats("taken")
 	if last, _ := m.holder.Last(); last.Born != b.Born {
-		m.left = b.Instance == m.departed
+		if last.Instance != "" {
+			m.departed = "" // An instance may start again under its identity.
+		}
 		m.upstream.Reset()
 		m.gate.lifeEnded(now, last.Instance)
 	}
@@ -151,7 +159,7 @@
 		o.why = "the target has not reported yet"
 	case m.dead:
 		o.why = "the target has ended"
-	case m.left || last.Draining:
+	case m.left() || last.Draining:
 		o.why = "the target is leaving"
 	default:
 		o.serving = true
@@ -183,7 +191,7 @@
 // wanted returns the record as it should be, or nil if it is or nothing can be said yet.
 func (m *member) wanted(now clock.Instant, last *tenure.Heartbeat) *fleet.Target {
 	state := fleet.Serving
-	if last.Draining || m.left {
+	if last.Draining || m.left() {
 		state = fleet.Leaving
 	}
 	if m.gone(now) {
@@ -359,7 +367,7 @@
 func (m *member) watchTarget(now clock.Instant) {
 	last, lastAt := m.holder.Last()
 	quiet := float64(now.Sub(lastAt)) > quietBeats*float64(m.settings.HeartbeatInterval())
-	if last.Instance == "" || m.dead || m.probing || !(quiet || m.suspect || m.left) || now.Sub(m.probedAt) < probeInterval {
+	if last.Instance == "" || m.dead || m.probing || !(quiet || m.suspect || m.left()) || now.Sub(m.probedAt) < probeInterval {
 		return
 	}
 	m.probing, m.probedAt = true, now
