--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,39 +82,52 @@
 func (p *Pool) Choose(now clock.Instant, candidates []Candidate, bulk bool, tried map[string]bool) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var open []int
-	for _, ejectedToo := range []bool{false, true} {
-		for i, c := range candidates {
-			if !tried[c.Host] && (ejectedToo || now >= p.peer(c.Host).ejected) {
-				open = append(open, i)
-			}
-		}
-		if len(open) > 0 {
-			break
+	var all, open, ejected []option
+	for i, c := range candidates {
+		o := option{index: i, Candidate: c, peer: p.peer(c.Host), near: c.Zone == p.zone}
+		all = append(all, o)
+		switch {
+		case tried[c.Host]:
+		case now < o.peer.ejected:
+			ejected = append(ejected, o)
+		default:
+			open = append(open, o)
 		}
 	}
-	usual := p.usual(candidates)
+	if len(open) == 0 {
+		open = ejected
+	}
+	usual := usualOf(all)
 	best, bestCost := -1, time.Duration(0)
-	for _, i := range p.known(now, candidates, open, bulk, usual) {
-		c := candidates[i]
-		if cost := p.cost(now, p.peer(c.Host), c, bulk, usual); best < 0 || cost < bestCost {
-			best, bestCost = i, cost
+	for _, o := range known(now, open, bulk, usual) {
+		if cost := o.cost(now, bulk, usual); best < 0 || cost < bestCost {
+			best, bestCost = o.index, cost
 		}
 	}
 	return best
 }
 
+// option is a candidate that may be chosen, with what is known of it.
+type option struct {
+	index int
+	Candidate
+	peer *peer
+	near bool // in the own zone
+	// race is when it is drawn: the lowest ones are.
+	race float64
+}
+
 // usualLoad is what is assumed of targets that have stated nothing lately.
 type usualLoad struct {
 	mean  time.Duration
 	ratio float64 // busy requests by slots, 1 at most: that one target is overloaded says little about the others
 }
 
-// usual returns the mean of what the candidates stated last.
-func (p *Pool) usual(candidates []Candidate) usualLoad {
+// usualOf returns the mean of what the options stated last.
+func usualOf(options []option) usualLoad {
 	u, stated := usualLoad{}, 0
-	for _, c := range candidates {
-		if l := p.peer(c.Host).load; l.Mean > 0 {
+	for _, o := range options {
+		if l := o.peer.load; l.Mean > 0 {
 			stated++
 			u.mean += l.Mean
 			u.ratio += float64(l.Busy) / float64(max(1, l.Slots))
@@ -124,72 +139,62 @@
 	return usualLoad{u.mean / time.Duration(stated), min(1, u.ratio/float64(stated))}
 }
 
-// known returns the open candidates whose load is fresh, and drawn ones of the others. Those that are quicker are drawn more
-// often, in the ratio of the requests that they can bear.
-func (p *Pool) known(now clock.Instant, candidates []Candidate, open []int, bulk bool, usual usualLoad) []int {
-	var compared, stale []int
-	for _, i := range open {
-		if now.Sub(p.peer(candidates[i].Host).loadAt) < staleLoad {
-			compared = append(compared, i)
-		} else {
-			stale = append(stale, i)
+// known returns the options whose load is fresh, and drawn ones of the others. Those that are quicker are drawn more often, in
+// the ratio of the requests that they can bear.
+func known(now clock.Instant, options []option, bulk bool, usual usualLoad) []option {
+	var fresh, stale []option
+	for _, o := range options {
+		if o.fresh(now) {
+			fresh = append(fresh, o)
+			continue
 		}
+		o.race = rand.ExpFloat64() / o.capacity(bulk, usual)
+		stale = append(stale, o)
 	}
-	for range min(drawn, len(stale)) {
-		total := 0.0
-		for _, i := range stale {
-			total += p.capacity(candidates[i], bulk, usual)
-		}
-		at := rand.Float64() * total
-		pick := 0
-		for pick < len(stale)-1 {
-			if at -= p.capacity(candidates[stale[pick]], bulk, usual); at < 0 {
-				break
-			}
-			pick++
-		}
-		compared = append(compared, stale[pick])
-		stale = append(stale[:pick], stale[pick+1:]...)
+	slices.SortFunc(stale, func(a, b option) int { return cmp.Compare(a.race, b.race) })
+	return append(fresh, stale[:min(drawn, len(stale))]...)
+}
+
+func (o *option) fresh(now clock.Instant) bool { return now.Sub(o.peer.loadAt) < staleLoad }
+
+// mean returns the service time.
+func (o *option) mean(usual usualLoad) time.Duration {
+	if o.peer.load.Mean == 0 {
+		return usual.mean
 	}
-	return compared
+	return o.peer.load.Mean
 }
 
 // capacity returns how many requests a second the target can bear, and more for one in the own zone.
-func (p *Pool) capacity(c Candidate, bulk bool, usual usualLoad) float64 {
-	mean := p.peer(c.Host).load.Mean
-	if mean == 0 {
-		mean = usual.mean
-	}
-	capacity := float64(max(1, c.Slots)) / mean.Seconds()
+func (o *option) capacity(bulk bool, usual usualLoad) float64 {
+	capacity := float64(max(1, o.Slots)) / o.mean(usual).Seconds()
 	switch {
-	case c.Zone == p.zone && bulk:
-		capacity *= ownZoneBulkWeight
-	case c.Zone == p.zone:
-		capacity *= ownZoneWeight
+	case o.near && bulk:
+		return capacity * ownZoneBulkWeight
+	case o.near:
+		return capacity * ownZoneWeight
 	}
 	return capacity
 }
 
 // cost is the expected time to the answer, with a little noise that keeps nodes from choosing alike.
-func (p *Pool) cost(now clock.Instant, q *peer, c Candidate, bulk bool, usual usualLoad) time.Duration {
-	mean, slots := q.load.Mean, max(1, c.Slots)
-	if mean == 0 {
-		mean = usual.mean
-	}
-	busy := max(q.sent, q.load.Busy)
-	if now.Sub(q.loadAt) >= staleLoad {
-		busy = max(q.sent, int(usual.ratio*float64(slots)))
+func (o *option) cost(now clock.Instant, bulk bool, usual usualLoad) time.Duration {
+	mean, slots := o.mean(usual), max(1, o.Slots)
+	stated := o.peer.load.Busy
+	if !o.fresh(now) {
+		stated = int(usual.ratio * float64(slots))
 	}
+	busy := max(o.peer.sent, stated)
 	cost := mean + time.Duration(float64(mean)*float64(busy)/float64(slots))
 	if busy >= slots {
 		cost += time.Duration(float64(mean) * float64(busy-slots+1) / float64(slots))
 	}
-	if c.Zone != p.zone {
-		if bulk {
-			cost += remoteBulkPenalty
-		} else {
-			cost += remotePenalty
-		}
+	switch {
+	case o.near:
+	case bulk:
+		cost += remoteBulkPenalty
+	default:
+		cost += remotePenalty
 	}
 	return cost + time.Duration(rand.Int64N(int64(mean)/16+1))
 }
