--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -55,9 +55,7 @@
 	// Keyed services run a request only where its key is held.
 	Keyed bool
 	// ColdPerSecond is how many requests a second a cold target bears.
-	ColdPerSecond  float64
-	ColdStart      time.Duration
-	MaxConnections int
+	ColdPerSecond float64
 }
 
 // Limits bound what callers may send.
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -241,14 +241,3 @@
 	}
 	return 0
 }
-
-// Keep forgets hosts that are not in the set and have no requests in flight.
-func (p *Pool) Keep(hosts map[string]bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for host, q := range p.peers {
-		if !hosts[host] && q.sent == 0 {
-			delete(p.peers, host)
-		}
-	}
-}
--- a/internal/sidecar/demand.go
+++ b/internal/sidecar/demand.go
@@ -27,7 +27,6 @@
 	started clock.Instant
 	current [keyspace.MaxKey + 1]float32 // seconds of work that arrived in the window
 	mean    [keyspace.MaxKey + 1]float32 // slots
-	total   float64
 	// pooled is the work without a key.
 	pooled, pooledMean float64
 }
@@ -55,15 +54,12 @@
 		weight = 1 // Nothing arrived for long; older windows say nothing.
 	}
 	perSecond := float32(1 / elapsed.Seconds())
-	total := 0.0
 	for key := range d.mean {
 		d.mean[key] += weight * (d.current[key]*perSecond - d.mean[key])
 		d.current[key] = 0
-		total += float64(d.mean[key])
 	}
 	d.pooledMean += float64(weight) * (d.pooled*float64(perSecond) - d.pooledMean)
 	d.pooled = 0
-	d.total = total + d.pooledMean
 	d.started = now
 }
 
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -465,5 +464,3 @@
 	}
 	return ok
 }
-
-func bytesReader(data []byte) io.Reader { return bytes.NewReader(data) }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -105,7 +106,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	head := &wire.RequestHead{Method: method, TimeoutMs: pollTimeout.Milliseconds(), ContentLength: int64(len(message)), Entrance: n.settings.Node}
-	response, err := n.relay.Do(ctx, address, &relay.Request{Head: head, Body: bytesReader(message)})
+	response, err := n.relay.Do(ctx, address, &relay.Request{Head: head, Body: bytes.NewReader(message)})
 	if err != nil {
 		return nil, err
 	}
