--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -66,16 +66,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at := b.advance(now)
+	if b.left() < 1 {
+		return false
+	}
+	b.repeats[at]++
+	return true
+}
+
+// left returns how many repeats are left in the window, in parts of one. The lock is held.
+func (b *Budget) left() float64 {
 	requests, repeats := 0, 0
 	for i := range b.requests {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
-	if float64(repeats+1) > ownShare*(b.ratio*float64(requests)+b.slack/float64(b.nodes)) {
-		return false
-	}
-	b.repeats[at]++
-	return true
+	return ownShare*(b.ratio*float64(requests)+b.slack/float64(b.nodes)) - float64(repeats)
 }
 
 // Left returns how many repeats are left in the window.
@@ -83,10 +88,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	requests, repeats := 0, 0
-	for i := range b.requests {
-		requests += b.requests[i]
-		repeats += b.repeats[i]
-	}
-	return max(0, int(ownShare*(b.ratio*float64(requests)+b.slack/float64(b.nodes)))-repeats)
+	return max(0, int(b.left()))
 }
