--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"strings"
 
 	"github.com/citronvane/citronvane/internal/errs"
@@ -78,14 +79,7 @@
 
 // Clone returns a view whose maps may be changed. Records are shared and must not be changed.
 func (v *View) Clone() *View {
-	c := &View{Revision: v.Revision, Targets: make(map[string]*Target, len(v.Targets)), Tables: make(map[string]*Table, len(v.Tables))}
-	for k, t := range v.Targets {
-		c.Targets[k] = t
-	}
-	for k, t := range v.Tables {
-		c.Tables[k] = t
-	}
-	return c
+	return &View{Revision: v.Revision, Targets: maps.Clone(v.Targets), Tables: maps.Clone(v.Tables)}
 }
 
 // With returns the view with the record in place of an older one.
@@ -112,39 +106,52 @@
 // Since returns the parts of the view that are newer than the stamp. Merged into a view with that stamp, they bring it up
 // to date but for deletions, which only a whole view shows.
 func (v *View) Since(stamp uint64) *View {
-	d := NewView()
-	for host, t := range v.Targets {
-		if t.Version > stamp {
-			d.Targets[host] = t
-		}
-	}
-	for service, t := range v.Tables {
-		if t.Version > stamp {
-			d.Tables[service] = t
-		}
-	}
-	return d
+	return &View{Targets: newerThan(v.Targets, stamp), Tables: newerThan(v.Tables, stamp)}
 }
 
 // Merge returns the newest state of both views. An object that only one of them has counts as deleted if the other
 // reflects a later revision.
 func (v *View) Merge(o *View) *View {
-	m := &View{Revision: max(v.Revision, o.Revision), Targets: map[string]*Target{}, Tables: map[string]*Table{}}
-	for _, pair := range [][2]*View{{v, o}, {o, v}} {
-		for host, t := range pair[0].Targets {
-			other := pair[1].Targets[host]
-			if other == nil && t.Version > pair[1].Revision || other != nil && t.Version >= other.Version {
-				m.Targets[host] = t
-			}
+	return &View{
+		Revision: max(v.Revision, o.Revision),
+		Targets:  merge(v.Targets, o.Targets, v.Revision, o.Revision),
+		Tables:   merge(v.Tables, o.Tables, v.Revision, o.Revision),
+	}
+}
+
+// stored is an object of the store with its version.
+type stored interface{ version() uint64 }
+
+func (t *Target) version() uint64 { return t.Version }
+func (t *Table) version() uint64  { return t.Version }
+
+func newerThan[T stored](objects map[string]T, stamp uint64) map[string]T {
+	newer := map[string]T{}
+	for name, o := range objects {
+		if o.version() > stamp {
+			newer[name] = o
 		}
-		for service, t := range pair[0].Tables {
-			other := pair[1].Tables[service]
-			if other == nil && t.Version > pair[1].Revision || other != nil && t.Version >= other.Version {
-				m.Tables[service] = t
-			}
+	}
+	return newer
+}
+
+// merge returns the newest of each object of two views at their revisions.
+func merge[T stored](a, b map[string]T, aRevision, bRevision uint64) map[string]T {
+	merged := newest(a, b, bRevision)
+	maps.Copy(merged, newest(b, a, aRevision))
+	return merged
+}
+
+// newest returns the objects that the others have in no newer version and, where the others lack them, have not deleted.
+func newest[T stored](objects, others map[string]T, othersRevision uint64) map[string]T {
+	kept := map[string]T{}
+	for name, o := range objects {
+		other, known := others[name]
+		if known && o.version() >= other.version() || !known && o.version() > othersRevision {
+			kept[name] = o
 		}
 	}
-	return m
+	return kept
 }
 
 // TargetName returns the object name of a host's record.
@@ -156,46 +163,36 @@
 // Apply puts a changed object into the view. A malformed object is an error and changes nothing.
 func (v *View) Apply(c store.Change) error {
 	if host, ok := strings.CutPrefix(c.Name, targetPrefix); ok {
-		return v.applyTarget(host, c)
+		return apply(v.Targets, host, c, DecodeTarget)
 	}
 	if service, ok := strings.CutPrefix(c.Name, keysPrefix); ok {
-		return v.applyTable(service, c)
+		return apply(v.Tables, service, c, decodeTable)
 	}
 	return errs.New(errs.Invalid, "Delete the object.", "fleet: object %q is of no known kind", c.Name)
 }
 
-func (v *View) applyTarget(host string, c store.Change) error {
-	old := v.Targets[host]
-	if old != nil && old.Version >= c.Version {
+func apply[T stored](objects map[string]T, name string, c store.Change, decode func(store.Object) (T, error)) error {
+	if old, known := objects[name]; known && old.version() >= c.Version {
 		return nil
 	}
 	if c.Deleted {
-		delete(v.Targets, host)
+		delete(objects, name)
 		return nil
 	}
-	t, err := DecodeTarget(c.Object)
+	next, err := decode(c.Object)
 	if err != nil {
 		return err
 	}
-	v.Targets[host] = t
+	objects[name] = next
 	return nil
 }
 
-func (v *View) applyTable(service string, c store.Change) error {
-	old := v.Tables[service]
-	if old != nil && old.Version >= c.Version {
-		return nil
-	}
-	if c.Deleted {
-		delete(v.Tables, service)
-		return nil
-	}
-	t, err := keyspace.Decode(c.Value)
+func decodeTable(o store.Object) (*Table, error) {
+	t, err := keyspace.Decode(o.Value)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	v.Tables[service] = &Table{Table: *t, Version: c.Version}
-	return nil
+	return &Table{Table: *t, Version: o.Version}, nil
 }
 
 // DecodeTarget reads a record.
