--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -284,7 +284,7 @@
 			return &refusal{answer.Moving, wait, "not_granted_yet"}
 		}
 	case <-ctx.Done():
-		return &refusal{answer.Deadline, 0, "caller_left"}
+		return gaveUp(ctx)
 	}
 	return nil
 }
@@ -308,7 +308,7 @@
 		Route: j.head.Route, Priority: int(j.head.Rank), Objective: objective, Aim: j.aim, Deadline: j.deadline,
 	})
 	if err != nil {
-		return nil, &refusal{answer.Deadline, 0, "caller_left"}
+		return nil, gaveUp(ctx)
 	}
 	if refused != nil {
 		kind := answer.Shed
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -139,10 +139,11 @@
 	return nil
 }
 
-// gaveUp refuses a request whose context ended before it was sent.
+// gaveUp refuses a request whose context ended before it was sent. The context of another node's request has the deadline of
+// the relay.
 func gaveUp(ctx context.Context) *refusal {
 	reason := "caller_left"
-	if errors.Is(context.Cause(ctx), errDeadline) {
+	if cause := context.Cause(ctx); errors.Is(cause, errDeadline) || errors.Is(cause, context.DeadlineExceeded) {
 		reason = "deadline"
 	}
 	return &refusal{answer.Deadline, 0, reason}
@@ -230,13 +231,8 @@
 	} else {
 		res, load = e.remote(ctx, x, t, head)
 	}
-	if errors.Is(res.err, relay.ErrNotSent) && ctx.Err() != nil && e.clock.Now().Sub(now) < connectPatience {
-		e.pool.Answered(e.clock.Now(), t.Host, nil)
-		return &result{refusal: gaveUp(ctx)}
-	}
 	if errors.Is(res.err, relay.ErrNotSent) {
-		pause := e.pool.Unreachable(e.clock.Now(), t.Host)
-		return &result{refusal: &refusal{answer.TargetDown, max(pause, minRetryAfter), "host_unreachable"}}
+		return &result{refusal: e.notSent(ctx, t, now)}
 	}
 	if res.refusal == nil || res.refusal.kind == answer.TargetRefused {
 		x.sent++
@@ -245,6 +241,17 @@
 	return res
 }
 
+// notSent ends a request that the host has not got, though it was offered from the instant on.
+func (e *entrance) notSent(ctx context.Context, t *fleet.Target, since clock.Instant) *refusal {
+	now := e.clock.Now()
+	if ctx.Err() != nil && now.Sub(since) < connectPatience {
+		e.pool.Answered(now, t.Host, nil)
+		return gaveUp(ctx)
+	}
+	pause := e.pool.Unreachable(now, t.Host)
+	return &refusal{answer.TargetDown, max(pause, minRetryAfter), "host_unreachable"}
+}
+
 func (e *entrance) head(x *exchange, now clock.Instant) *wire.RequestHead {
 	head := &wire.RequestHead{
 		Service: x.service, Method: x.method, Path: x.path, Headers: relay.FromHTTP(x.header),
