--- a/internal/store/call.go
+++ b/internal/store/call.go
@@ -139,7 +139,7 @@
 
 // statusError classifies an answer with an error status.
 func statusError(c call, r reply) error {
-	kind := statusKind(r.status)
+	kind := KindOf(r.status)
 	if kind == errs.OutcomeUnknown && c.op != opWrite {
 		kind = errs.Unavailable
 	}
@@ -161,7 +161,8 @@
 	errs.OutcomeUnknown: remedyReadBack,
 }
 
-func statusKind(status int) errs.Kind {
+// KindOf returns what an error status of a store says of a call, OutcomeUnknown if it says nothing.
+func KindOf(status int) errs.Kind {
 	switch status {
 	case http.StatusNotFound:
 		return errs.NotFound
@@ -185,7 +186,7 @@
 	return errs.OutcomeUnknown
 }
 
-// StatusOf returns the HTTP status for an error of the kind. It is the inverse of the client's classification.
+// StatusOf returns the HTTP status for an error of the kind. It is the inverse of KindOf.
 func StatusOf(kind errs.Kind) int {
 	switch kind {
 	case errs.NotFound:
