--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -63,6 +63,17 @@
 	require.NoError(t, res.Body.Close())
 }
 
+// sendRaw proves the secret and sends a request without a body, without checking the server.
+func sendRaw(t *testing.T, conn net.Conn, secret []byte) {
+	challenge := make([]byte, headerSize+challengeSize)
+	_, err := io.ReadFull(conn, challenge)
+	require.NoError(t, err)
+	hello, err := newHello(secret, challenge[headerSize:])
+	require.NoError(t, err)
+	_, err = conn.Write(frame{kindBodiless, 1, nil}.append(frame{kindHello, 0, hello}.append(nil)))
+	require.NoError(t, err)
+}
+
 func request(key string, body []byte) *Request {
 	req := &Request{Head: &wire.RequestHead{Key: key}}
 	if body != nil {
@@ -272,13 +283,7 @@
 	conn, err := net.Dial("tcp", address)
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
-	challenge := make([]byte, headerSize+challengeSize)
-	_, err = io.ReadFull(conn, challenge)
-	require.NoError(t, err)
-	hello, err := newHello([]byte("other"), challenge[headerSize:])
-	require.NoError(t, err)
-	_, err = conn.Write(frame{kindBodiless, 1, nil}.append(frame{kindHello, 0, hello}.append(nil)))
-	require.NoError(t, err)
+	sendRaw(t, conn, []byte("other"))
 	rest, _ := io.ReadAll(conn)
 	require.Empty(t, rest)
 	require.Zero(t, runs.Load())
--- a/internal/sidecar/assign_test.go
+++ b/internal/sidecar/assign_test.go
@@ -15,16 +15,16 @@
 // Guards against a coordinator that was replaced without knowing, revokes a host that it can't reach, and gives the keys away
 // while its successor, whose view does not show that yet, goes on giving its word to the old owner.
 func TestReplacedCoordinatorGivesNothingAway(t *testing.T) {
-	e := entranceFor(t)
-	c, now := e.coordinator, e.clock.Now()
+	n := idleNode(t)
+	c, now := n.coordinator, n.clock.Now()
 	lost := keyspace.Owner{Host: "lost", Term: 1}
 	view := fleet.NewView()
 	view.Targets["lost"] = &fleet.Target{Host: "lost", Service: "s", Term: 1, State: fleet.Revoked, Slots: 18}
 	view.Targets["well"] = &fleet.Target{Host: "well", Service: "s", Term: 1, State: fleet.Serving, Slots: 18}
 	table := keyspace.Table{Fence: 1, Rows: []keyspace.Row{{Range: keyspace.Range{From: 0, To: keyspace.MaxKey}, Owner: lost, Fence: 1}}}
 	view.Tables["s"] = &fleet.Table{Table: table, Version: 3}
-	e.state.view.Store(view)
-	e.state.config.Store(ingress.NewConfig(1, nil, map[string]ingress.Service{"s": {Keyed: true}}, ingress.Limits{}))
+	n.state.view.Store(view)
+	n.state.config.Store(ingress.NewConfig(1, nil, map[string]ingress.Service{"s": {Keyed: true}}, ingress.Limits{}))
 	c.leads, c.writing = true, map[string]bool{}
 	c.revoked = map[keyspace.Owner]clock.Instant{lost: now.Add(-2 * leaseTerm)}
 	name := fleet.TableName("s")
--- a/internal/sidecar/member_test.go
+++ b/internal/sidecar/member_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"io"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -9,18 +8,12 @@
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/keyspace"
-	"github.com/citronvane/citronvane/internal/settings"
 	"github.com/citronvane/citronvane/internal/tenure"
-	"github.com/citronvane/citronvane/platform"
 )
 
 // Guards against a restarted node that has read its record but not the table yet, and makes its target release everything.
 func TestNothingIsGrantedBeforeTheTableIsKnown(t *testing.T) {
-	out := newOutput(io.Discard)
-	bounds, err := platform.ReadBounds(nil)
-	require.NoError(t, err)
-	n, err := newNode(&settings.Sidecar{Host: "h", Service: "s", HeartbeatIntervalMs: 200, RelayPorts: []int{1, 2}, Store: settings.SidecarStore{Address: "127.0.0.1:1"}}, bounds, newLogger(out, "n"), out)
-	require.NoError(t, err)
+	n := idleNode(t)
 	m, now := n.member, n.clock.Now()
 	owner := keyspace.Owner{Host: "h", Term: 3}
 	m.loaded, m.checked = true, now
@@ -42,7 +35,7 @@
 // Guards against a node that has just started, acknowledges its target's farewell and forgets it, because it has had no heartbeat
 // of the target yet (ombrios trouble-3, seed 512518103447).
 func TestFarewellBeforeTheFirstHeartbeatIsKept(t *testing.T) {
-	n := entranceFor(t).node
+	n := idleNode(t)
 	n.control = make(chan func(clock.Instant), 1)
 	m, now := n.member, n.clock.Now()
 	require.NoError(t, m.Deregister("i"))
--- a/internal/sidecar/perform_test.go
+++ b/internal/sidecar/perform_test.go
@@ -16,14 +16,15 @@
 	"github.com/citronvane/citronvane/platform"
 )
 
-func entranceFor(t *testing.T) *entrance {
+// idleNode returns a node whose goroutines do not run.
+func idleNode(t *testing.T) *node {
 	out := newOutput(io.Discard)
 	bounds, err := platform.ReadBounds(nil)
 	require.NoError(t, err)
 	n, err := newNode(&settings.Sidecar{Host: "h", Service: "s", HeartbeatIntervalMs: 200, RelayPorts: []int{1, 2}, Store: settings.SidecarStore{Address: "127.0.0.1:1"}}, bounds, newLogger(out, "n"), out)
 	require.NoError(t, err)
 	t.Cleanup(n.relay.Close)
-	return n.entrance
+	return n
 }
 
 // silentHost takes connections and says nothing.
@@ -41,7 +42,7 @@
 
 // Guards against a host that gets nothing for a while because a caller left before its request was sent there.
 func TestCallerWhoLeavesSaysNothingAboutTheHost(t *testing.T) {
-	e := entranceFor(t)
+	e := idleNode(t).entrance
 	target := silentHost(t)
 	for cause, reason := range map[error]string{errDeadline: "deadline", context.Canceled: "caller_left"} {
 		ctx, cancel := context.WithCancelCause(context.Background())
@@ -56,7 +57,7 @@
 
 // Guards against a lost host that keeps getting requests because all its callers give up before the connection fails.
 func TestHostThatTakesNothingIsLeftOut(t *testing.T) {
-	e := entranceFor(t)
+	e := idleNode(t).entrance
 	target := silentHost(t)
 	ctx, cancel := context.WithTimeout(context.Background(), connectPatience+20*time.Millisecond)
 	defer cancel()
