--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -17,31 +17,25 @@
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/settings"
 	"github.com/citronvane/citronvane/platform"
+	"github.com/citronvane/citronvane/platform/standin"
 )
 
 // rig is a small fleet over stand-ins: nodes h1 to hN of a keyed service, the last one of a pooled service.
 type rig struct {
 	t       *testing.T
-	store   *storeStandin
-	history *history
+	store   *standin.Store
+	history *standin.History
 	hosts   []*rigHost
 }
 
 type rigHost struct {
 	node   *node
-	door   *door
-	target *targetStandin
+	door   *standin.Door
+	target *standin.Target
 	cancel context.CancelFunc
 	done   chan error
 }
 
-const rigConfig = `{"version":"r%d","routes":{
-"keyed":{"host":"x.example","path_prefix":"/k/","kind":"safe","timeout_ms":3000,"target_latency_ms":1000,"priority":2,"service":"keyed","max_attempts":2},
-"once":{"host":"x.example","path_prefix":"/o/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":1000,"priority":1,"service":"keyed","max_attempts":2},
-"pooled":{"host":"x.example","path_prefix":"/%s/","kind":"safe","timeout_ms":3000,"target_latency_ms":1000,"priority":1,"service":"pooled","max_attempts":2}},
-"services":{"keyed":{"sharded":true,"cold_per_s":28,"cold_start_s":3},"pooled":{"cold_per_s":28,"cold_start_s":3}},
-"limits":{"max_body_bytes":1000000,"idle_timeout_ms":15000}}`
-
 func freePorts(t *testing.T, ip string, n int) []string {
 	t.Helper()
 	addresses := make([]string, n)
@@ -56,8 +50,8 @@
 
 func newRig(t *testing.T, keyed int) *rig {
 	t.Helper()
-	r := &rig{t: t, store: newStoreStandin(), history: &history{held: map[int]heldBy{}}}
-	r.store.write("config", "main", fmt.Sprintf(rigConfig, 1, "p"))
+	r := &rig{t: t, store: standin.NewStore(), history: standin.NewHistory()}
+	r.store.Configure(standin.Configuration(1, "p"))
 	for i := range keyed + 1 {
 		service := "keyed"
 		if i == keyed {
@@ -72,7 +66,7 @@
 		for _, h := range r.hosts {
 			<-h.done
 			if h.target != nil {
-				h.target.crash()
+				h.target.Crash()
 			}
 		}
 	})
@@ -104,12 +98,14 @@
 	var relayPort int
 	_, err := fmt.Sscanf(strings.TrimPrefix(ports[0], ip+":"), "%d", &relayPort)
 	require.NoError(r.t, err)
-	door := r.store.door(r.t)
+	door, err := r.store.Open()
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = door.Close() })
 	s := &settings.Sidecar{
-		Node: "node-" + ip, Host: ip, AvailabilityZone: "z", Service: service, Target: ports[1], HeartbeatIntervalMs: 200,
+		Node: "node-" + ip, Host: ip, AvailabilityZone: "z", Service: service, Target: ports[1], HeartbeatIntervalMs: standin.BeatMs,
 		RelayPorts: []int{relayPort, relayPort},
 		Listen:     settings.SidecarListen{Entrance: ports[2], Readiness: ports[3], Heartbeats: ports[4], Metrics: ports[5]},
-		Store:      settings.SidecarStore{Address: door.address},
+		Store:      settings.SidecarStore{Address: door.Address()},
 	}
 	bounds, err := platform.ReadBounds(nil)
 	require.NoError(r.t, err)
@@ -139,39 +135,27 @@
 	go func() { done <- n.run(ctx); close(done) }()
 }
 
-func (r *rig) target(h *rigHost, instance string, born int64) *targetStandin {
+func (r *rig) target(h *rigHost, instance string, born int64) *standin.Target {
 	s := h.node.settings
-	target := &targetStandin{t: r.t, history: r.history, host: s.Host, service: s.Service, control: s.Listen.Heartbeats, instance: instance, born: born, work: 2 * time.Millisecond}
-	target.start(s.Target)
+	target, err := standin.StartTarget(s.Target, standin.TargetOptions{
+		History: r.history, Service: s.Service, Keyed: s.Service == "keyed", Control: s.Listen.Heartbeats, Instance: instance, Born: born, Work: 2 * time.Millisecond,
+	})
+	require.NoError(r.t, err)
 	return target
 }
 
 func (h *rigHost) get(path, id string, key int) (int, string) {
-	request, _ := http.NewRequest(http.MethodGet, "http://"+h.node.settings.Listen.Entrance+path, nil)
-	request.Host = "x.example"
-	request.Header = http.Header{"Request-Id": {id}, "Deadline-Ms": {"2500"}, "Shard-Key": {fmt.Sprint(key)}}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, err.Error()
-	}
-	return response.StatusCode, string(body)
+	return standin.Get(h.node.settings.Listen.Entrance, path, id, key)
 }
 
 func (r *rig) noFault() {
 	r.t.Helper()
-	r.history.mu.Lock()
-	defer r.history.mu.Unlock()
-	require.Empty(r.t, r.history.fault)
+	require.Empty(r.t, r.history.Faults())
 	seen := map[string]bool{}
-	for _, run := range r.history.runs {
-		if strings.HasPrefix(run.id, "once") {
-			require.False(r.t, seen[run.id], "%s ran twice", run.id)
-			seen[run.id] = true
+	for _, id := range r.history.Runs() {
+		if strings.HasPrefix(id, "once") {
+			require.False(r.t, seen[id], "%s ran twice", id)
+			seen[id] = true
 		}
 	}
 }
@@ -213,8 +197,7 @@
 		c, err := net.Dial("tcp", r.hosts[0].node.settings.Listen.Entrance)
 		require.NoError(t, err)
 		defer c.Close()
-		_, err = io.WriteString(c, "POST /o/x HTTP/1.1\r\nHost: x.example\r\nRequest-Id: s1\r\nShard-Key: 1\r\nContent-Length: 4\r\n"+
-			"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /k/smuggled HTTP/1.1\r\nHost: x.example\r\nRequest-Id: s2\r\nShard-Key: 1\r\n\r\n")
+		_, err = io.WriteString(c, standin.TwoLengths)
 		require.NoError(t, err)
 		require.NoError(t, c.SetReadDeadline(time.Now().Add(3*time.Second)))
 		reader := bufio.NewReader(c)
@@ -227,10 +210,8 @@
 
 	// Guards against a watch that misses a change: the coordinator's poll names the revision.
 	t.Run("a missed change of the configuration is in force within 2 s", func(t *testing.T) {
-		r.store.mu.Lock()
-		r.store.deaf = true
-		r.store.mu.Unlock()
-		r.store.write("config", "main", fmt.Sprintf(rigConfig, 2, "q"))
+		r.store.SetDeaf(true)
+		r.store.Configure(standin.Configuration(2, "q"))
 		require.Eventually(t, func() bool {
 			for _, h := range r.hosts {
 				if status, _ := h.get("/q/x", "c1", 1); status != 200 {
@@ -242,26 +223,24 @@
 			}
 			return true
 		}, 2*time.Second, 20*time.Millisecond)
-		r.store.mu.Lock()
-		r.store.deaf = false
-		r.store.mu.Unlock()
+		r.store.SetDeaf(false)
 	})
 
 	t.Run("an outage of the store shorter than the lease is not noticed", func(t *testing.T) {
 		for _, h := range r.hosts {
-			h.door.set(func(d *door) { d.down = true })
+			h.door.Set(func(d *standin.Trouble) { d.Down = true })
 		}
 		longest := r.serveThrough(leadTerm-2*time.Second, r.hosts[0])
 		require.Zero(t, longest)
 		for _, h := range r.hosts {
-			h.door.set(func(d *door) { d.down = false })
+			h.door.Set(func(d *standin.Trouble) { d.Down = false })
 		}
 		r.noFault()
 	})
 
 	t.Run("keys of a crashed target are served elsewhere", func(t *testing.T) {
 		require.Eventually(t, func() bool { return r.served("q") }, 10*time.Second, 50*time.Millisecond)
-		r.hosts[1].target.crash()
+		r.hosts[1].target.Crash()
 		longest := r.serveThrough(4*time.Second, r.hosts[0])
 		require.Less(t, longest, 3*time.Second)
 		r.noFault()
@@ -271,25 +250,21 @@
 
 	t.Run("a draining target hands its keys over", func(t *testing.T) {
 		target := r.hosts[2].target
-		target.mu.Lock()
-		target.state = "draining"
-		target.mu.Unlock()
+		target.Drain()
 		longest := r.serveThrough(3*time.Second, r.hosts[0])
 		require.Less(t, longest, 2*time.Second)
-		target.mu.Lock()
-		require.Empty(t, target.holds)
-		target.mu.Unlock()
+		require.Zero(t, target.Holds())
 		r.noFault()
 	})
 
 	t.Run("lost answers of the store break nothing", func(t *testing.T) {
 		for _, h := range r.hosts {
-			h.door.set(func(d *door) { d.loseAnswers = true })
+			h.door.Set(func(d *standin.Trouble) { d.LoseAnswers = true })
 		}
-		r.hosts[0].target.crash()
+		r.hosts[0].target.Crash()
 		r.serveThrough(3*time.Second, r.hosts[3])
 		for _, h := range r.hosts {
-			h.door.set(func(d *door) { d.loseAnswers = false })
+			h.door.Set(func(d *standin.Trouble) { d.LoseAnswers = false })
 		}
 		longest := r.serveThrough(5*time.Second, r.hosts[3])
 		require.Less(t, longest, 4*time.Second)
@@ -319,12 +294,12 @@
 		leader = r.hosts[3]
 	}
 	entrance := r.hosts[3]
-	other.door.set(func(d *door) { d.down = true })
+	other.door.Set(func(d *standin.Trouble) { d.Down = true })
 	require.Zero(t, r.serveThrough(2*leaseTerm, entrance), "a node without the store")
-	other.door.set(func(d *door) { d.down = false })
+	other.door.Set(func(d *standin.Trouble) { d.Down = false })
 	r.noFault()
 
-	leader.door.set(func(d *door) { d.down = true })
+	leader.door.Set(func(d *standin.Trouble) { d.Down = true })
 	r.serveThrough(leadTerm+2*leaseTerm, entrance)
 	r.noFault()
 	require.False(t, leader.leads())
@@ -336,7 +311,7 @@
 		}
 		return false
 	}, 10*time.Second, 100*time.Millisecond, "another node leads")
-	leader.door.set(func(d *door) { d.down = false })
+	leader.door.Set(func(d *standin.Trouble) { d.Down = false })
 	r.serveThrough(2*time.Second, entrance)
 	r.noFault()
 	require.Eventually(t, func() bool { return r.served("p") }, 15*time.Second, 50*time.Millisecond)
--- a/internal/sidecar/soak_test.go
+++ b/internal/sidecar/soak_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/platform/standin"
 )
 
 const (
@@ -41,7 +43,7 @@
 	born := int64(1000)
 	reborn := func(h *rigHost, instance string) {
 		born++
-		h.target.crash()
+		h.target.Crash()
 		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
 		h.target = r.target(h, instance, born)
 	}
@@ -52,33 +54,25 @@
 		t.Logf("step %d: action %d on %s for %v", step, action, h.node.settings.Host, length)
 		switch action {
 		case 0:
-			way.set(func(d *door) { d.down = true })
-			time.AfterFunc(length, func() { way.set(func(d *door) { d.down = false }) })
+			way.Set(func(d *standin.Trouble) { d.Down = true })
+			time.AfterFunc(length, func() { way.Set(func(d *standin.Trouble) { d.Down = false }) })
 		case 1:
-			way.set(func(d *door) { d.slow = 300 * time.Millisecond })
-			time.AfterFunc(length, func() { way.set(func(d *door) { d.slow = 0 }) })
+			way.Set(func(d *standin.Trouble) { d.Slow = 300 * time.Millisecond })
+			time.AfterFunc(length, func() { way.Set(func(d *standin.Trouble) { d.Slow = 0 }) })
 		case 2:
-			way.set(func(d *door) { d.loseAnswers = true })
-			time.AfterFunc(length, func() { way.set(func(d *door) { d.loseAnswers = false }) })
+			way.Set(func(d *standin.Trouble) { d.LoseAnswers = true })
+			time.AfterFunc(length, func() { way.Set(func(d *standin.Trouble) { d.LoseAnswers = false }) })
 		case 3:
 			reborn(h, fmt.Sprintf("i-%d", born))
 		case 4:
-			reborn(h, h.target.instance) // The same identity, a new life.
+			reborn(h, h.target.Instance) // The same identity, a new life.
 		case 5:
-			h.target.mu.Lock()
-			h.target.state = "draining"
-			h.target.mu.Unlock()
+			h.target.Drain()
 			r.serveThrough(800*time.Millisecond, r.hosts[0])
 			reborn(h, fmt.Sprintf("i-%d", born))
 		case 6:
-			r.store.mu.Lock()
-			r.store.deaf = true
-			r.store.mu.Unlock()
-			time.AfterFunc(length, func() {
-				r.store.mu.Lock()
-				defer r.store.mu.Unlock()
-				r.store.deaf = false
-			})
+			r.store.SetDeaf(true)
+			time.AfterFunc(length, func() { r.store.SetDeaf(false) })
 		case 7:
 			r.restart(h)
 		}
