--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -25,6 +25,8 @@
 	// Evacuated lists the zones that were out of service at EvacuatedAt, a revision of the store.
 	Evacuated   []string `json:"evacuated,omitempty"`
 	EvacuatedAt uint64   `json:"evacuated_at,omitempty"`
+	// StoreSilentMs asks the node to try the store, which has not answered the coordinator for so long, in milliseconds.
+	StoreSilentMs int64 `json:"store_silent_ms,omitempty"`
 	// View is set if the node's own is older.
 	View *View `json:"view,omitempty"`
 	// Quarantine lists the fingerprints of requests that crash targets.
@@ -45,6 +47,8 @@
 	Record *Target `json:"record,omitempty"`
 	// LeaseMs is how long the node may go on granting without another check, in milliseconds.
 	LeaseMs int64 `json:"lease_ms"`
+	// StoreAgeMs is how long ago the store last answered the node, in milliseconds, 0 if it never did.
+	StoreAgeMs int64 `json:"store_age_ms,omitempty"`
 	// BeatMs is the time until the target's next heartbeat, in milliseconds; only a heartbeat can grant or release.
 	BeatMs int64 `json:"beat_ms"`
 	// ColdMs is how long the target stays cold, in milliseconds.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -55,6 +55,9 @@
 	Keyed map[string]bool
 	// Began is when the coordinator began.
 	Began clock.Instant
+	// Spoke is since when the coordinator can give its word without a break. Leases that lapse without it say nothing about
+	// their nodes.
+	Spoke clock.Instant
 	// Balanced holds when ranges of a service were last moved for balance.
 	Balanced map[string]clock.Instant
 	// Expected holds the demand of ranges that were assigned lately.
@@ -258,7 +261,7 @@
 		if t.Service != s.name || !owners[host] || n == nil || t.State != fleet.Serving && t.State != fleet.Leaving {
 			continue
 		}
-		if s.in.Now.Sub(n.Answered) >= s.o.Silence || n.Report != nil && n.Report.LeaseMs <= 0 {
+		if s.in.Now.Sub(n.Answered) >= s.o.Silence || n.Report != nil && n.Report.LeaseMs <= 0 && s.in.Now.Sub(s.in.Spoke) >= s.o.Silence {
 			hosts = append(hosts, host)
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -265,3 +265,17 @@
 	w.hot(w.table().Rows[0].Owner.Host, keyspace.Range{From: 100, To: 299}, 40, 20)
 	require.Empty(t, w.step(t).Tables, "moving serves nobody if all owners are overloaded")
 }
+
+// Guards against a coordinator that revokes all targets after an outage of the store, because their leases lapsed without its
+// word.
+func TestLapsedLeaseCountsOnlyAgainstTheWord(t *testing.T) {
+	w := newWorld(3)
+	for _, p := range w.step(t).Tables {
+		w.in.View.Tables["booking"] = &fleet.Table{Table: *p.Table, Version: 1}
+	}
+	w.in.Nodes["h1"].Report.LeaseMs = 0
+	w.in.Spoke = w.in.Now.Add(-options.Silence / 2)
+	require.Empty(t, Make(w.in, options).Revoke, "the word has not had the time to come")
+	w.in.Spoke = w.in.Now.Add(-options.Silence)
+	require.Equal(t, []string{"h1"}, Make(w.in, options).Revoke)
+}
--- a/internal/sidecar/assign.go
+++ b/internal/sidecar/assign.go
@@ -29,7 +29,7 @@
 	}
 	in := &placement.Input{
 		Now: now, View: v, Nodes: map[string]*placement.Node{}, Evacuated: map[string]bool{},
-		Keyed: map[string]bool{}, Began: c.began, Balanced: c.balanced, Expected: c.expected,
+		Keyed: map[string]bool{}, Began: c.began, Spoke: c.speaks(now), Balanced: c.balanced, Expected: c.expected,
 	}
 	for host, n := range c.members {
 		in.Nodes[host] = &n.Node
@@ -45,8 +45,10 @@
 	c.noteRevoked(now, v)
 	in.Revoked = c.counting()
 	p := placement.Make(in, placement.Options{LeaseTerm: leaseTerm, Silence: pollSilence, Gather: gatherTime, Heartbeat: c.settings.HeartbeatInterval()})
-	for _, host := range p.Revoke {
-		c.revoke(now, v.Targets[host])
+	if c.outage.silent(now) == 0 { // A write that the store may execute late would cost an owner that has come back by then.
+		for _, host := range p.Revoke {
+			c.revoke(now, v.Targets[host])
+		}
 	}
 	for service, change := range p.Tables {
 		c.writeTable(now, service, change)
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -16,12 +16,6 @@
 	"github.com/citronvane/citronvane/platform"
 )
 
-const (
-	// ownOutage is how long the coordinator's own path to the store may be down before it stops polling, so that
-	// another node takes its place.
-	ownOutage = 2 * time.Second
-)
-
 // coordinator polls the nodes, revokes silent ones and assigns ranges while this node leads. Its fields belong to the
 // control goroutine. Whatever it writes is a compare-and-swap, so that a second coordinator costs work only.
 type coordinator struct {
@@ -42,9 +36,11 @@
 	began       clock.Instant
 	// confirmed is when the last check was sent that showed this node as the coordinator.
 	confirmed clock.Instant
+	// spoke is what speaks returned at the last check of the lead.
+	spoke clock.Instant
 	// settled is when the words of the last coordinator have certainly run out.
 	settled clock.Instant
-	heard   clock.Instant // when the store last answered the watch
+	outage  outage
 	members map[string]*polledNode
 	revoked map[keyspace.Owner]clock.Instant
 	// balanced holds when ranges of a service were last moved for balance.
@@ -90,6 +86,9 @@
 	}
 	c.gate.setQuarantine(p.Quarantine)
 	c.hear(p)
+	if p.StoreSilentMs > 0 {
+		c.tryStore()
+	}
 	if p.Term != 0 && p.Process == c.process {
 		owner := keyspace.Owner{Host: c.settings.Host, Term: p.Term}
 		c.member.holder.Word(owner, clock.Instant(p.Reported), time.Duration(p.AuthorityMs)*time.Millisecond)
@@ -97,6 +96,18 @@
 	return c.member.report(now)
 }
 
+// tryStore finds out for a coordinator that gets no answer from the store whether this node gets one.
+func (c *coordinator) tryStore() {
+	c.background(func(ctx context.Context) func(clock.Instant) {
+		_, err := c.store.Get(ctx, fleet.LeadKind, fleet.CoordinatorName)
+		return func(after clock.Instant) {
+			if err == nil {
+				c.tell(c.member.report(after))
+			}
+		}
+	})
+}
+
 // hear takes what the poll says of the operator's objects.
 func (c *coordinator) hear(p *fleet.Poll) {
 	if p.Config > c.state.configAt.Load() {
@@ -145,6 +156,7 @@
 		case err != nil || lead.Host != c.settings.Host || lead.Round != c.round:
 			c.resign("the store names another coordinator")
 		default:
+			c.spoke = c.speaks(c.clock.Now())
 			c.confirmed = max(c.confirmed, sent)
 		}
 	})
@@ -155,6 +167,14 @@
 	return max(0, c.confirmed.Add(leadTerm-leadMargin).Sub(now))
 }
 
+// speaks returns since when this node can give its word without a break.
+func (c *coordinator) speaks(now clock.Instant) clock.Instant {
+	if c.authority(now) == 0 {
+		return now
+	}
+	return c.spoke
+}
+
 // take puts a newer view in force at this node.
 func (c *coordinator) take(now clock.Instant, v *fleet.View) {
 	c.state.view.Store(v)
@@ -185,8 +205,9 @@
 		}
 		return
 	}
-	if now.Sub(c.heard) > ownOutage+leadWatchWait {
-		c.resign("the store is silent")
+	c.outage.answered(clock.Instant(c.state.storeHeard.Load()))
+	if c.outage.yield(now) {
+		c.resign("the store answers other nodes")
 		return
 	}
 	c.pollAll(now)
@@ -273,7 +294,7 @@
 // lead begins to act as the coordinator.
 func (c *coordinator) lead(now clock.Instant, round uint64, v *fleet.View) {
 	ctx, cancel := context.WithCancel(c.ctx)
-	c.leads, c.round, c.stop, c.began, c.heard = true, round, cancel, now, now
+	c.leads, c.round, c.stop, c.began, c.spoke, c.outage = true, round, cancel, now, now, outage{heard: now}
 	c.members = map[string]*polledNode{}
 	c.revoked = map[keyspace.Owner]clock.Instant{}
 	c.balanced = map[string]clock.Instant{}
@@ -322,7 +343,6 @@
 }
 
 func (c *coordinator) watched(now clock.Instant, changes []store.Change, revision uint64, listed *fleet.View) {
-	c.heard = now
 	v := c.state.view.Load()
 	if listed != nil {
 		v = v.Merge(listed)
@@ -348,6 +368,7 @@
 	v := c.state.view.Load()
 	stamp := v.Stamp()
 	operator := c.operatorStamp()
+	asked := 0
 	for host, t := range v.Targets {
 		n := c.members[host]
 		if n == nil {
@@ -365,7 +386,12 @@
 			continue
 		}
 		n.operator = operator
-		c.send(now, n, t, v, stamp)
+		p := c.message(now, n, t, v, stamp)
+		if silent := c.outage.silent(now); silent > 0 && asked < askedNodes {
+			asked++ // The order of the hosts is random.
+			p.StoreSilentMs = silent.Milliseconds()
+		}
+		c.send(now, n, t, p)
 	}
 	for host := range c.members {
 		if v.Targets[host] == nil {
@@ -383,7 +409,8 @@
 	return stamp
 }
 
-func (c *coordinator) send(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View, stamp uint64) {
+// message returns a poll for the node.
+func (c *coordinator) message(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View, stamp uint64) *fleet.Poll {
 	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Round: c.round, Quarantine: c.quarantine,
 		Config: c.state.configAt.Load(), EvacuatedAt: c.state.evacuatedAt.Load()}
 	for zone := range *c.state.evacuated.Load() {
@@ -395,6 +422,10 @@
 	if n.Report != nil && (t.State == fleet.Serving || t.State == fleet.Leaving) && !c.revoking[t.Owner()] {
 		p.Term, p.Process, p.Reported, p.AuthorityMs = t.Term, n.Report.Process, n.Report.Sent, c.authority(now).Milliseconds()
 	}
+	return p
+}
+
+func (c *coordinator) send(now clock.Instant, n *polledNode, t *fleet.Target, p *fleet.Poll) {
 	n.polling, n.sent = true, now
 	round := c.round
 	c.background(func(ctx context.Context) func(clock.Instant) {
@@ -421,6 +452,7 @@
 		return
 	}
 	n.Report, n.Answered = r, now
+	c.outage.reported(now, time.Duration(r.StoreAgeMs)*time.Millisecond)
 	c.countCrashes(r)
 	if own := r.Record; own != nil {
 		if old := c.state.view.Load().Targets[own.Host]; old != nil && old.Version < own.Version {
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -57,7 +57,7 @@
 		if i == keyed {
 			service = "pooled"
 		}
-		r.hosts = append(r.hosts, r.host(fmt.Sprintf("127.0.0.%d", i+11), service))
+		r.hosts = append(r.hosts, r.host(hostIP(i), service))
 	}
 	t.Cleanup(func() {
 		for _, h := range r.hosts {
@@ -78,6 +78,13 @@
 	return r
 }
 
+// hostIP returns the address of a host. Copies of the test that run at the same time have addresses of their own, because
+// ports that were found free would else be taken by another copy.
+func hostIP(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, i+11)
+}
+
 // served reports whether every node serves every part of the keyspace and the pooled service.
 func (r *rig) served(pooled string) bool {
 	for _, h := range r.hosts {
@@ -93,6 +100,11 @@
 	return true
 }
 
+func (r *rig) waitServed(pooled string) {
+	r.t.Helper()
+	require.Eventually(r.t, func() bool { return r.served(pooled) }, 10*time.Second, 50*time.Millisecond)
+}
+
 func (r *rig) host(ip, service string) *rigHost {
 	ports := freePorts(r.t, ip, 6)
 	var relayPort int
@@ -111,7 +123,7 @@
 	require.NoError(r.t, err)
 	n := r.node(s, bounds)
 	h := &rigHost{door: door}
-	h.start(n)
+	r.start(h, n)
 	h.target = r.target(h, "i-"+ip, 1000)
 	return h
 }
@@ -127,12 +139,19 @@
 	return n
 }
 
-// start runs the node.
-func (h *rigHost) start(n *node) {
+// start runs the node, which must not end before it is told to.
+func (r *rig) start(h *rigHost, n *node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	h.node, h.cancel, h.done = n, cancel, done
-	go func() { done <- n.run(ctx); close(done) }()
+	go func() {
+		err := n.run(ctx)
+		if ctx.Err() == nil {
+			r.t.Errorf("node %s ended by itself: %v", n.settings.Node, err)
+		}
+		done <- err
+		close(done)
+	}()
 }
 
 func (r *rig) target(h *rigHost, instance string, born int64) *standin.Target {
@@ -165,11 +184,13 @@
 	since := map[int]time.Time{}
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		for key := 0; key < 65536; key += 4096 {
-			status, _ := entrance.get("/o/x", fmt.Sprintf("once-%d-%d", key, time.Now().UnixNano()), key)
+			id := fmt.Sprintf("once-%d-%d", key, time.Now().UnixNano())
+			status, body := entrance.get("/o/x", id, key)
 			if status == 200 {
 				delete(since, key)
 				continue
 			}
+			r.t.Logf("%s not served: %d %s", id, status, body)
 			if since[key].IsZero() {
 				since[key] = time.Now()
 			}
@@ -238,14 +259,36 @@
 		r.noFault()
 	})
 
+	// Guards against a coordinator that takes leases which lapsed without its word for lost nodes.
+	t.Run("an outage of the store longer than the lead leaves the owners in place", func(t *testing.T) {
+		r.waitServed("q")
+		terms := map[string]uint64{}
+		for host, target := range r.hosts[0].node.state.view.Load().Targets {
+			terms[host] = target.Term
+		}
+		for _, h := range r.hosts {
+			h.door.Set(func(d *standin.Trouble) { d.Down = true })
+		}
+		r.serveThrough(leadTerm+3*time.Second, r.hosts[0])
+		for _, h := range r.hosts {
+			h.door.Set(func(d *standin.Trouble) { d.Down = false })
+		}
+		// 3 s after an outage the users count all hosts as in touch again.
+		require.Eventually(t, func() bool { return r.served("q") }, 3*time.Second, 50*time.Millisecond)
+		for host, target := range r.hosts[0].node.state.view.Load().Targets {
+			require.Equal(t, terms[host], target.Term, host)
+		}
+		r.noFault()
+	})
+
 	t.Run("keys of a crashed target are served elsewhere", func(t *testing.T) {
-		require.Eventually(t, func() bool { return r.served("q") }, 10*time.Second, 50*time.Millisecond)
+		r.waitServed("q")
 		r.hosts[1].target.Crash()
 		longest := r.serveThrough(4*time.Second, r.hosts[0])
 		require.Less(t, longest, 3*time.Second)
 		r.noFault()
 		r.hosts[1].target = r.target(r.hosts[1], "i-again", 2000)
-		require.Eventually(t, func() bool { return r.served("q") }, 10*time.Second, 50*time.Millisecond)
+		r.waitServed("q")
 	})
 
 	t.Run("a draining target hands its keys over", func(t *testing.T) {
@@ -300,9 +343,10 @@
 	r.noFault()
 
 	leader.door.Set(func(d *standin.Trouble) { d.Down = true })
+	r.serveThrough(ownOutage+storeAhead+pollInterval, entrance)
+	require.False(t, leader.leads(), "the store answers other nodes")
 	r.serveThrough(leadTerm+2*leaseTerm, entrance)
 	r.noFault()
-	require.False(t, leader.leads())
 	require.Eventually(t, func() bool {
 		for _, h := range r.hosts {
 			if h != leader && h.leads() {
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -406,6 +406,9 @@
 		Crashes:  m.gate.crashes(now),
 		Record:   m.record,
 	}
+	if at := clock.Instant(m.state.storeHeard.Load()); at > 0 {
+		r.StoreAgeMs = max(1, now.Sub(at).Milliseconds())
+	}
 	if !m.state.listed.Load() {
 		r.Stamp = 0 // The coordinator sends the whole view.
 	}
--- a/internal/sidecar/soak_test.go
+++ b/internal/sidecar/soak_test.go
@@ -24,7 +24,7 @@
 func (r *rig) restart(h *rigHost) {
 	h.cancel()
 	require.NoError(r.t, <-h.done)
-	h.start(r.node(h.node.settings, h.node.bounds))
+	r.start(h, r.node(h.node.settings, h.node.bounds))
 }
 
 // TestSoak plays random faults of the store, the targets and the nodes under load. Two targets never hold a key at the same
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -94,6 +94,8 @@
 	own         atomic.Pointer[own]
 	draining    atomic.Bool
 	listed      atomic.Bool
+	// storeHeard is the instant of the store's last answer.
+	storeHeard atomic.Int64
 
 	mu      sync.Mutex
 	changed chan struct{}
