--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -317,10 +317,12 @@
 }
 
 // Keep forgets the routes that are not in the set, so that the state does not grow with configurations.
-func (c *Core) Keep(routes map[string]bool) {
-	for route := range c.times {
+func (c *Core) Keep(routes map[string]bool) { keep(c.times, routes) }
+
+func keep(known map[string]float64, routes map[string]bool) {
+	for route := range known {
 		if !routes[route] {
-			delete(c.times, route)
+			delete(known, route)
 		}
 	}
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -39,17 +39,17 @@
 func TestPoolAvoidsBusyAndUnreachableTargets(t *testing.T) {
 	p := NewPool("a")
 	targets := []Candidate{{"h1", "a", 18}, {"h2", "b", 18}}
-	require.Equal(t, 0, p.Choose(at(0), targets, false, nil), "own zone first")
+	require.Equal(t, 0, p.Choose(at(0), targets, Ask{}, nil), "own zone first")
 	p.Sent("h1")
 	p.Answered(at(0), "h1", &Load{Busy: 40, Slots: 18, Mean: 50 * time.Millisecond})
-	require.Equal(t, 1, p.Choose(at(1), targets, false, nil))
-	require.Equal(t, 0, p.Choose(at(1), targets, true, nil), "large answers stay in the zone a while longer")
+	require.Equal(t, 1, p.Choose(at(1), targets, Ask{}, nil))
+	require.Equal(t, 0, p.Choose(at(1), targets, Ask{Bulk: true}, nil), "large answers stay in the zone a while longer")
 	p.Sent("h2")
 	require.Equal(t, firstEject, p.Unreachable(at(1), "h2"))
-	require.Equal(t, 0, p.Choose(at(2), targets, false, nil))
-	require.Equal(t, 1, p.Choose(at(2), targets, false, map[string]bool{"h1": true}), "rather an ejected one than none")
-	require.Equal(t, 1, p.Choose(at(1000), targets[1:], false, nil)+1)
-	require.Equal(t, -1, p.Choose(at(2), nil, false, nil))
+	require.Equal(t, 0, p.Choose(at(2), targets, Ask{}, nil))
+	require.Equal(t, 1, p.Choose(at(2), targets, Ask{}, map[string]bool{"h1": true}), "rather an ejected one than none")
+	require.Equal(t, 1, p.Choose(at(1000), targets[1:], Ask{}, nil)+1)
+	require.Equal(t, -1, p.Choose(at(2), nil, Ask{}, nil))
 }
 
 // Guards against a retry storm: 13 nodes under failures of every request stay within the platform's bound.
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -20,6 +20,9 @@
 	maxEject   = 3 * time.Second
 	// staleLoad is how long the load that an answer stated is believed.
 	staleLoad = 500 * time.Millisecond
+	// queueMemory is how long a stated queue of a host's link is believed, less and less. Others fill it again, so that it does
+	// not end by itself.
+	queueMemory = 3 * time.Second
 	// drawn is the number of targets of unknown load that are compared: two random ones are nearly as good as all with
 	// known loads.
 	drawn = 2
@@ -27,6 +30,11 @@
 	ownZoneWeight = 2
 	// ownZoneBulkWeight is the same for large answers.
 	ownZoneBulkWeight = 16
+	// sizeWeight is the weight of one answer in the mean size of a route's answers.
+	sizeWeight = 0.05
+	// unknownBytes and unknownBulkBytes are the sizes that are assumed of answers before the first one.
+	unknownBytes     = 4 << 10
+	unknownBulkBytes = 64 << 10
 	// unknownService is the service time that is assumed for a target before its first answer.
 	unknownService = 50 * time.Millisecond
 )
@@ -38,6 +46,9 @@
 	Slots int
 	// Mean is the mean service time.
 	Mean time.Duration
+	// Queue is how long an answer would wait for the host's link, LinkRate the rate of that in bytes a second, 0 if unknown.
+	Queue    time.Duration
+	LinkRate float64
 }
 
 // peer is what this node knows of one target.
@@ -55,10 +66,50 @@
 	zone  string
 	mu    sync.Mutex
 	peers map[string]*peer
+	// sizes holds the mean size of the answers by route.
+	sizes map[string]float64
 }
 
 // NewPool returns a pool for a node in the zone.
-func NewPool(zone string) *Pool { return &Pool{zone: zone, peers: map[string]*peer{}} }
+func NewPool(zone string) *Pool {
+	return &Pool{zone: zone, peers: map[string]*peer{}, sizes: map[string]float64{}}
+}
+
+// Ask is what is known of a request before it is sent.
+type Ask struct {
+	Route string
+	// Bulk says that the answer is large.
+	Bulk bool
+}
+
+// Size records the size of an answer.
+func (p *Pool) Size(ask Ask, bytes int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.size(ask)
+	p.sizes[ask.Route] = old + sizeWeight*(float64(bytes)-old)
+}
+
+func (p *Pool) size(ask Ask) float64 {
+	if size, ok := p.sizes[ask.Route]; ok {
+		return size
+	}
+	if ask.Bulk {
+		return unknownBulkBytes
+	}
+	return unknownBytes
+}
+
+// Keep forgets the routes that are not in the set.
+func (p *Pool) Keep(routes map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for route := range p.sizes {
+		if !routes[route] {
+			delete(p.sizes, route)
+		}
+	}
+}
 
 // Candidate is a target that may get the request.
 type Candidate struct {
@@ -79,12 +130,13 @@
 // Choose returns the index of the candidate with the least expected wait, or -1 if there is none. tried holds the
 // hosts that had the request already. All nodes know the same targets as quick, so that a node compares only those whose load
 // it knows and a few that it draws: nodes that know nothing new would all choose the same one.
-func (p *Pool) Choose(now clock.Instant, candidates []Candidate, bulk bool, tried map[string]bool) int {
+func (p *Pool) Choose(now clock.Instant, candidates []Candidate, ask Ask, tried map[string]bool) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	bulk, bytes := ask.Bulk, p.size(ask)
 	var all, open, ejected []option
 	for i, c := range candidates {
-		o := option{index: i, Candidate: c, peer: p.peer(c.Host), near: c.Zone == p.zone}
+		o := option{index: i, Candidate: c, peer: p.peer(c.Host), near: c.Zone == p.zone, bytes: bytes}
 		all = append(all, o)
 		switch {
 		case tried[c.Host]:
@@ -113,6 +165,8 @@
 	Candidate
 	peer *peer
 	near bool // in the own zone
+	// bytes is the expected size of the answer.
+	bytes float64
 	// race is when it is drawn: the lowest ones are.
 	race float64
 }
@@ -168,6 +222,9 @@
 // capacity returns how many requests a second the target can bear, and more for one in the own zone.
 func (o *option) capacity(bulk bool, usual usualLoad) float64 {
 	capacity := float64(max(1, o.Slots)) / o.mean(usual).Seconds()
+	if rate := o.peer.load.LinkRate; rate > 0 {
+		capacity = min(capacity, rate/o.bytes)
+	}
 	switch {
 	case o.near && bulk:
 		return capacity * ownZoneBulkWeight
@@ -189,6 +246,9 @@
 	if busy >= slots {
 		cost += time.Duration(float64(mean) * float64(busy-slots+1) / float64(slots))
 	}
+	if rate := o.peer.load.LinkRate; rate > 0 {
+		cost += max(0, o.queue(now)-mean) + time.Duration(o.bytes/rate*float64(time.Second))
+	}
 	switch {
 	case o.near:
 	case bulk:
@@ -199,6 +259,12 @@
 	return cost + time.Duration(rand.Int64N(int64(mean)/16+1))
 }
 
+// queue returns the expected wait for the host's link. What was stated fades, so that the host is asked again after a while.
+func (o *option) queue(now clock.Instant) time.Duration {
+	left := 1 - now.Sub(o.peer.loadAt).Seconds()/queueMemory.Seconds()
+	return time.Duration(max(0, left) * float64(o.peer.load.Queue))
+}
+
 // Sent counts a request on its way to the host.
 func (p *Pool) Sent(host string) {
 	p.mu.Lock()
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -26,9 +26,11 @@
 	// HeartbeatIntervalMs is how often the target reports, in milliseconds.
 	HeartbeatIntervalMs float64 `yaml:"heartbeat_interval_ms" validate:"gt=0"`
 	// RelayPorts are the first and the last port that nodes may use between themselves.
-	RelayPorts []int         `yaml:"relay_ports" validate:"len=2,dive,gt=0,lt=65536"`
-	Listen     SidecarListen `yaml:"listen"`
-	Store      SidecarStore  `yaml:"store"`
+	RelayPorts []int `yaml:"relay_ports" validate:"len=2,dive,gt=0,lt=65536"`
+	// LinkMbps is the rate of the host's network link in megabits a second, 0 if it is not known.
+	LinkMbps float64       `yaml:"link_mbps" validate:"gte=0"`
+	Listen   SidecarListen `yaml:"listen"`
+	Store    SidecarStore  `yaml:"store"`
 	// Bounds are the platform's bounds by its own names; package platform reads them.
 	Bounds map[string]any `yaml:"bounds"`
 }
--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -48,7 +48,10 @@
 }
 
 // configured takes a new configuration.
-func (e *entrance) configured(c *ingress.Config) { e.idle.limit(c.Limits.IdleTimeout) }
+func (e *entrance) configured(c *ingress.Config) {
+	e.idle.limit(c.Limits.IdleTimeout)
+	e.pool.Keep(c.Names())
+}
 
 // budget returns the retry budget for a service.
 func (e *entrance) budget(service string) *ingress.Budget {
@@ -82,6 +85,11 @@
 	tries int
 }
 
+// ask returns what decides about the choice of a target.
+func (x *exchange) ask() ingress.Ask {
+	return ingress.Ask{Route: x.route.Name, Bulk: x.route.Kind == ingress.Download}
+}
+
 // repeatable reports whether the request may be sent to another target after one may have run it.
 func (x *exchange) repeatable() bool {
 	return x.route.Kind.Repeatable() && x.stream == nil && x.sent < x.route.MaxAttempts
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -63,6 +63,7 @@
 type gate struct {
 	*node
 	dispatch *dispatch.Controller
+	link     *dispatch.Link
 	demand   demand
 	// overloaded counts requests refused for overload since the last control tick.
 	overloaded atomic.Int64
@@ -78,7 +79,7 @@
 
 func newGate(n *node) *gate {
 	return &gate{
-		node: n, dispatch: dispatch.NewController(n.clock, 1),
+		node: n, dispatch: dispatch.NewController(n.clock, 1), link: dispatch.NewLink(n.settings.LinkMbps),
 		running: map[uint64]int{}, broken: map[uint64]clock.Instant{}, crashed: map[uint64]int{}, quarantine: map[uint64]clock.Instant{},
 	}
 }
@@ -86,6 +87,7 @@
 // configured takes a new configuration.
 func (g *gate) configured(c *ingress.Config) {
 	names := c.Names()
+	g.link.Keep(names)
 	own, stated := c.Services[g.settings.Service]
 	g.dispatch.Update(func(_ clock.Instant, core *dispatch.Core) {
 		core.Keep(names)
@@ -120,10 +122,11 @@
 	if refused != nil {
 		return w.WriteHead(&wire.ResponseHead{Status: http.StatusServiceUnavailable, Headers: refused.headers(g.loadHeader())})
 	}
-	return g.write(a, w)
+	return g.write(r.Head.Route, a, w)
 }
 
-func (g *gate) write(a *upstream.Answer, w relay.ResponseWriter) error {
+func (g *gate) write(route string, a *upstream.Answer, w relay.ResponseWriter) error {
+	g.link.Sent(g.clock.Now(), route, max(a.Length, int64(len(a.Body))))
 	head := &wire.ResponseHead{Status: int32(a.Status), ContentLength: a.Length}
 	head.Headers = append(relay.FromHTTP(platform.Backward(a.Header)), g.loadHeader())
 	if err := w.WriteHead(head); err != nil {
@@ -160,8 +163,11 @@
 
 func (g *gate) loadHeader() *wire.Header {
 	s, _ := g.dispatch.Stats()
-	return &wire.Header{Name: headerLoad, Value: strconv.Itoa(s.Running+s.Waiting) + "," + strconv.Itoa(s.Slots) + "," +
-		strconv.FormatInt(int64(s.Mean*1e6), 10)}
+	value := strconv.Itoa(s.Running + s.Waiting)
+	for _, field := range []int64{int64(s.Slots), int64(s.Mean * 1e6), g.link.Queue(g.clock.Now()).Microseconds(), int64(g.link.Rate())} {
+		value += "," + strconv.FormatInt(field, 10)
+	}
+	return &wire.Header{Name: headerLoad, Value: value}
 }
 
 // serve runs a request at the target, or refuses it. An error means that its outcome is unknown.
@@ -304,8 +310,12 @@
 		work = objective.Seconds() / 3
 	}
 	g.demand.add(j.arrived, j.key, work)
+	way := time.Duration(0) // of the answer
+	if !g.local(j) {
+		way = g.link.Delay(j.arrived, j.head.Route, time.Duration(work*float64(time.Second)))
+	}
 	ticket, refused, err := g.dispatch.Acquire(ctx, dispatch.Request{
-		Route: j.head.Route, Priority: int(j.head.Rank), Objective: objective, Aim: j.aim, Deadline: j.deadline,
+		Route: j.head.Route, Priority: int(j.head.Rank), Objective: objective, Aim: j.aim.Add(-way), Deadline: j.deadline.Add(-way),
 	})
 	if err != nil {
 		return nil, gaveUp(ctx)
@@ -329,6 +339,9 @@
 	return ticket, nil
 }
 
+// local reports whether the answer stays on the host.
+func (g *gate) local(j *job) bool { return j.head.Entrance == g.settings.Node }
+
 // run sends the request to the target.
 func (g *gate) run(ctx context.Context, j *job, ticket *dispatch.Ticket) (*upstream.Answer, *refusal, error) {
 	o := g.state.own.Load()
@@ -342,6 +355,9 @@
 		Once: !j.head.Repeatable, Belongs: platform.Belongs(j.head.RequestId),
 	}
 	g.begin(j.print)
+	if !g.local(j) {
+		defer g.link.End(g.link.Begin(j.head.Route))
+	}
 	started := g.clock.Now()
 	a, err := g.upstream.Do(ctx, request)
 	g.end(j.print, errors.Is(err, upstream.ErrBroken))
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -94,7 +94,7 @@
 			candidates = append(candidates, ingress.Candidate{Host: t.Host, Zone: t.Zone, Slots: t.Slots})
 		}
 	}
-	i := e.pool.Choose(now, candidates, x.route.Kind == ingress.Download, tried)
+	i := e.pool.Choose(now, candidates, x.ask(), tried)
 	if i < 0 {
 		return nil, &refusal{answer.NoOwner, ownerRetryAfter, "no_target"}
 	}
@@ -306,6 +306,9 @@
 		return &result{refusal: r}, load
 	}
 	res := &result{status: int(response.Head.Status), header: header, length: response.Head.ContentLength}
+	if x.key < 0 && res.status < http.StatusMultipleChoices && res.length >= 0 {
+		e.pool.Size(x.ask(), res.length)
+	}
 	if res.length < 0 || res.length > upstream.MaxBuffered {
 		res.rest = response.Body
 		return res, load
@@ -330,17 +333,25 @@
 	return data, nil
 }
 
+// loadFields is the number of fields in headerLoad.
+const loadFields = 5
+
 // readLoad reads the load that a host states, or returns nil.
 func readLoad(text string) *ingress.Load {
 	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
+	if len(parts) != loadFields {
 		return nil
 	}
-	busy, err1 := strconv.Atoi(parts[0])
-	slots, err2 := strconv.Atoi(parts[1])
-	mean, err3 := strconv.Atoi(parts[2])
-	if errors.Join(err1, err2, err3) != nil {
-		return nil
+	var fields [loadFields]int
+	for i, part := range parts {
+		n, err := strconv.Atoi(part)
+		if err != nil {
+			return nil
+		}
+		fields[i] = n
+	}
+	return &ingress.Load{
+		Busy: fields[0], Slots: fields[1], Mean: time.Duration(fields[2]) * time.Microsecond,
+		Queue: time.Duration(fields[3]) * time.Microsecond, LinkRate: float64(fields[4]),
 	}
-	return &ingress.Load{Busy: busy, Slots: slots, Mean: time.Duration(mean) * time.Microsecond}
 }
