--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -63,14 +63,18 @@
 	require.NoError(t, res.Body.Close())
 }
 
-// sendRaw proves the secret and sends a request without a body, without checking the server.
-func sendRaw(t *testing.T, conn net.Conn, secret []byte) {
+// sendRaw proves the secret and sends a request without a body and the frames, in one write, without checking the server.
+func sendRaw(t *testing.T, conn net.Conn, secret []byte, more ...frame) {
 	challenge := make([]byte, headerSize+challengeSize)
 	_, err := io.ReadFull(conn, challenge)
 	require.NoError(t, err)
 	hello, err := newHello(secret, challenge[headerSize:])
 	require.NoError(t, err)
-	_, err = conn.Write(frame{kindBodiless, 1, nil}.append(frame{kindHello, 0, hello}.append(nil)))
+	data := frame{kindBodiless, 1, nil}.append(frame{kindHello, 0, hello}.append(nil))
+	for _, f := range more {
+		data = f.append(data)
+	}
+	_, err = conn.Write(data)
 	require.NoError(t, err)
 }
 
@@ -385,3 +389,29 @@
 	_, err = Listen(ServerOptions{Address: taken.Addr().String(), Logger: &log.Logger{Level: log.PanicLevel}})
 	require.ErrorContains(t, err, "address already in use")
 }
+
+// Guards against a server that stood still and then runs requests whose clients have cancelled them meanwhile.
+func TestCancelledBeforeItIsReadNeverRuns(t *testing.T) {
+	var ran atomic.Int32
+	_, _, address := start(t, func(context.Context, *Request, ResponseWriter) error {
+		ran.Add(1)
+		return nil
+	})
+	for range 50 {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		sendRaw(t, conn, []byte("secret"), frame{kind: kindCancel, stream: 1})
+		var frames decoder
+		buffer := make([]byte, 1<<10)
+		for ended := false; !ended; {
+			n, err := conn.Read(buffer)
+			require.NoError(t, err)
+			require.NoError(t, frames.feed(buffer[:n], func(f frame) error {
+				ended = ended || f.kind == kindReset || f.kind == kindEnd
+				return nil
+			}))
+		}
+		require.NoError(t, conn.Close())
+	}
+	require.Zero(t, ran.Load())
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -149,7 +149,9 @@
 		return gnet.Close
 	}
 	data, _ := c.Next(-1)
-	if err := conn.frames.feed(data, conn.receive); err != nil {
+	err := conn.frames.feed(data, conn.receive)
+	conn.begin()
+	if err != nil {
 		s.refused(c, err)
 		return gnet.Close
 	}
--- a/internal/relay/serverconn.go
+++ b/internal/relay/serverconn.go
@@ -46,6 +46,8 @@
 	running   atomic.Int32
 	unsent    atomic.Int64
 	last      uint32 // highest stream identity so far; only for the event loop
+	// begun holds the streams that began with the frames that are being received; only for the event loop.
+	begun []func()
 
 	mu      sync.Mutex
 	streams map[uint32]*serverStream
@@ -202,13 +204,25 @@
 	if body {
 		req.Body = io.Reader(s)
 	}
-	c.server.handlers.Go(func() { c.serve(ctx, cancel, s, req) })
+	c.begun = append(c.begun, func() { c.serve(ctx, cancel, s, req) })
+}
+
+// begin starts the handlers of the streams that began. It runs after all frames that have arrived: a process that stood still
+// must not start what its client has cancelled meanwhile.
+func (c *serverConn) begin() {
+	for _, serve := range c.begun {
+		c.server.handlers.Go(serve)
+	}
+	c.begun = c.begun[:0]
 }
 
 func (c *serverConn) serve(ctx context.Context, cancel context.CancelFunc, s *stream, req *Request) {
 	stop := context.AfterFunc(ctx, func() { s.fail(ctx.Err()) })
 	w := &responseWriter{stream: s}
-	err := c.handle(ctx, req, w)
+	err := ctx.Err()
+	if err == nil {
+		err = c.handle(ctx, req, w)
+	}
 	c.mu.Lock()
 	delete(c.streams, s.id)
 	c.mu.Unlock()
