--- a/internal/sidecar/demand.go
+++ b/internal/demand/demand.go
@@ -1,4 +1,5 @@
-package sidecar
+// Package demand measures the work that arrives for each key of a target. It performs no I/O and takes the time as an argument.
+package demand
 
 import (
 	"sync"
@@ -10,19 +11,23 @@
 )
 
 const (
-	// demandWindow is the length of one window of the demand.
-	demandWindow = 250 * time.Millisecond
-	// demandWeight is the weight of the newest window: most of the demand is that of the last second.
-	demandWeight = 0.3
+	// window is the length of one window of the demand.
+	window = 250 * time.Millisecond
+	// usualWeight is the weight of the newest window: most of the demand is that of the last second.
+	usualWeight = 0.3
+	// jumpRatio is how much more work than usual a window has at least if the demand has changed at once, as when keys turn hot, and
+	// jumpWeight is the weight of such a window. jumpWork is the work below which a window says nothing, in seconds.
+	jumpRatio  = 1.4
+	jumpWeight = 0.8
+	jumpWork   = 0.5
 	// maxSegments bounds the segments of a report.
 	maxSegments = 48
 	// minSegment is the demand below which keys are not worth a segment of their own, in slots.
 	minSegment = 0.02
 )
 
-// demand measures the work that arrives for each key of the host's target, in slots kept busy. It is safe for
-// concurrent use.
-type demand struct {
+// Meter measures the work that arrives for each key, in slots kept busy. It is safe for concurrent use.
+type Meter struct {
 	mu      sync.Mutex
 	started clock.Instant
 	current [keyspace.MaxKey + 1]float32 // seconds of work that arrived in the window
@@ -31,8 +36,8 @@
 	pooled, pooledMean float64
 }
 
-// add counts a request that needs so many seconds of work. A negative key means none.
-func (d *demand) add(now clock.Instant, key int, work float64) {
+// Add counts a request that needs so many seconds of work. A negative key means none.
+func (d *Meter) Add(now clock.Instant, key int, work float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.roll(now)
@@ -44,16 +49,19 @@
 }
 
 // roll closes the window if it is over.
-func (d *demand) roll(now clock.Instant) {
+func (d *Meter) roll(now clock.Instant) {
 	elapsed := now.Sub(d.started)
-	if elapsed < demandWindow {
+	if elapsed < window {
 		return
 	}
-	weight := float32(demandWeight)
-	if elapsed > 4*demandWindow {
+	weight := float32(usualWeight)
+	if elapsed > 4*window {
 		weight = 1 // Nothing arrived for long; older windows say nothing.
 	}
 	perSecond := float32(1 / elapsed.Seconds())
+	if d.jumped(perSecond) {
+		weight = max(weight, jumpWeight)
+	}
 	for key := range d.mean {
 		d.mean[key] += weight * (d.current[key]*perSecond - d.mean[key])
 		d.current[key] = 0
@@ -63,9 +71,19 @@
 	d.started = now
 }
 
-// report returns the demand, and its parts for the rows: each has about the same demand, and keys that have more
+// jumped reports whether the window has much more work than usual.
+func (d *Meter) jumped(perSecond float32) bool {
+	var current, mean float32
+	for key := range d.mean {
+		current += d.current[key]
+		mean += d.mean[key]
+	}
+	return current > jumpWork && current*perSecond > jumpRatio*mean
+}
+
+// Report returns the demand, and its parts for the rows: each has about the same demand, and keys that have more
 // than that are parts of their own.
-func (d *demand) report(now clock.Instant, rows []keyspace.Row) (float64, []fleet.Segment) {
+func (d *Meter) Report(now clock.Instant, rows []keyspace.Row) (float64, []fleet.Segment) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.roll(now)
@@ -83,7 +101,7 @@
 	return sum + d.pooledMean, segments
 }
 
-func (d *demand) segment(segments []fleet.Segment, r keyspace.Range, part float64) []fleet.Segment {
+func (d *Meter) segment(segments []fleet.Segment, r keyspace.Range, part float64) []fleet.Segment {
 	from, sum := r.From, 0.0
 	add := func(to int) {
 		if sum > 0 && from <= to {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -62,6 +62,9 @@
 	refused *Refusal
 }
 
+// Refusal returns why a decided ticket does not run, or nil if it runs.
+func (t *Ticket) Refusal() *Refusal { return t.refused }
+
 // Refusal says why a request does not run, and when the caller may come back.
 type Refusal struct {
 	Reason     Reason
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -10,7 +10,7 @@
 
 const (
 	// balanceInterval is the pause between moves for balance, in which the demand is measured anew.
-	balanceInterval = time.Second
+	balanceInterval = 700 * time.Millisecond
 	// busyEnough is the share of busy slots below which an owner is left alone: it answers in time.
 	busyEnough = 0.7
 	// roomEnough is the share of busy slots above which an owner gets nothing more. Between owners that are all
@@ -26,22 +26,23 @@
 	// releaseTime is how long a target takes to report that it has released a range: it reports again within 100 ms,
 	// and the table is written then.
 	releaseTime = 150 * time.Millisecond
-	// maxSteps bounds the pairs of owners that exchange ranges in one step.
-	maxSteps = 5
+	// minSteps is the number of pairs of owners that may exchange ranges in one step; in large fleets half of the owners may.
+	minSteps = 5
 )
 
 // balance moves ranges from the busiest owners to the least busy ones.
 func (s *service) balance() {
-	if len(s.change.Moves) > 0 || len(s.table.Rows) > maxRows || s.in.Now.Sub(s.in.Balanced[s.name]) < balanceInterval {
+	if len(s.change.Moves) > 0 || len(s.table.Rows) > s.maxRows() || s.in.Now.Sub(s.in.Balanced[s.name]) < balanceInterval {
 		return
 	}
 	var warm []*candidate
+	rows := s.rows()
 	for _, c := range s.candidates {
-		if c.report != nil && !c.cold {
+		if c.report != nil && !c.cold && rows[c.target.Host] < maxOwnerRows {
 			warm = append(warm, c)
 		}
 	}
-	for range maxSteps {
+	for range max(minSteps, len(warm)/2) {
 		if len(warm) < 2 {
 			return
 		}
@@ -56,6 +57,18 @@
 	}
 }
 
+// rows returns the number of rows of each host, with those on the move at both ends.
+func (s *service) rows() map[string]int {
+	rows := map[string]int{}
+	for _, r := range s.table.Rows {
+		rows[r.Owner.Host]++
+		if !r.Next.IsZero() {
+			rows[r.Next.Host]++
+		}
+	}
+	return rows
+}
+
 // receiver returns the target that takes ranges from the donor: the least busy one, but rather one whose next heartbeat
 // follows soon after the donor's, since the keys are not served in between.
 func (s *service) receiver(from *candidate, others []*candidate) *candidate {
@@ -115,25 +128,27 @@
 type piece struct {
 	keyspace.Range
 	demand float64
+	// row is the index of its row.
+	row int
 }
 
 // segments returns the pieces of the rows of the candidate, in the order of their keys.
 func (s *service) segments(c *candidate) []piece {
 	var pieces []piece
-	for _, r := range s.table.Rows {
+	for i, r := range s.table.Rows {
 		if r.Owner != c.target.Owner() || !r.Next.IsZero() {
 			continue
 		}
 		for _, seg := range c.report.Segments {
 			if shared := (keyspace.Range{From: max(seg.From, r.From), To: min(seg.To, r.To)}); shared.Valid() {
-				pieces = append(pieces, piece{shared, seg.Demand * float64(shared.Size()) / float64(seg.Size())})
+				pieces = append(pieces, piece{shared, seg.Demand * float64(shared.Size()) / float64(seg.Size()), i})
 			}
 		}
 	}
 	return pieces
 }
 
-// pick returns neighbouring pieces, joined where they touch, whose demand is closest to want without exceeding it by
+// pick returns neighbouring pieces, joined within a row with the keys between them, whose demand is closest to want without exceeding it by
 // more than a tenth. The run that needs the fewest rows wins.
 func pick(pieces []piece, want float64) []piece {
 	limit := want * 1.1
@@ -145,7 +160,7 @@
 				break
 			}
 			sum += p.demand
-			if n := len(run); n > 0 && run[n-1].To+1 == p.From {
+			if n := len(run); n > 0 && run[n-1].row == p.row {
 				run[n-1].To, run[n-1].demand = p.To, run[n-1].demand+p.demand
 			} else {
 				run = append(run, p)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,8 +31,17 @@
 	revokeMargin = 100 * time.Millisecond
 	// coldLeft is the rest of a cold start that a new owner may still have before it.
 	coldLeft = 300 * time.Millisecond
-	// maxRows bounds the table, so that it stays small enough to push at each change.
-	maxRows = 400
+	// minRowsBound, rowsPerOwner and maxRowsBound bound the table: an object of the store holds about 9,000 rows, and each change
+	// goes to all nodes.
+	minRowsBound = 400
+	rowsPerOwner = 12
+	maxRowsBound = 6000
+	// maxOwnerRows bounds the rows of one owner. The answer to a heartbeat has 4 KiB at most, a row up to 56 bytes of it.
+	maxOwnerRows = 48
+	// stripes is the number of ranges that the first assignment gives to each owner, as far as these are not more than
+	// firstRows in all. Busy keys are neighbours, so that stripes share them out before their demand is known.
+	stripes   = 8
+	firstRows = 400
 )
 
 // Node is what the coordinator knows of a node beyond its record.
@@ -362,21 +371,32 @@
 		return free
 	}
 	for _, gap := range s.table.Gaps() {
-		for _, part := range split(gap, len(s.candidates)) {
+		for _, part := range split(gap, s.parts()) {
 			free = append(free, vacancy{part, keyspace.Owner{}, keyspace.Owner{}, "", Unowned, 0})
 		}
 	}
 	return free
 }
 
-// split cuts a gap into parts of the size that each target would get of the whole keyspace.
-func split(gap keyspace.Range, targets int) []keyspace.Range {
-	size := (keyspace.MaxKey + targets) / targets
-	var parts []keyspace.Range
+// parts returns the number of parts of a keyspace without owners.
+func (s *service) parts() int {
+	owners := len(s.candidates)
+	return owners * min(max(firstRows/owners, 1), stripes)
+}
+
+// maxRows returns the number of rows from which the table is not divided further.
+func (s *service) maxRows() int {
+	return min(max(minRowsBound, rowsPerOwner*len(s.candidates)), maxRowsBound)
+}
+
+// split cuts a gap into parts of the size that each of so many would have of the whole keyspace.
+func split(gap keyspace.Range, parts int) []keyspace.Range {
+	size := (keyspace.MaxKey + parts) / parts
+	var ranges []keyspace.Range
 	for from := gap.From; from <= gap.To; from += size {
-		parts = append(parts, keyspace.Range{From: from, To: min(gap.To, from+size-1)})
+		ranges = append(ranges, keyspace.Range{From: from, To: min(gap.To, from+size-1)})
 	}
-	return parts
+	return ranges
 }
 
 // demand returns the demand that the owner last reported for the row.
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -14,6 +14,7 @@
 
 	"github.com/citronvane/citronvane/internal/answer"
 	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/demand"
 	"github.com/citronvane/citronvane/internal/dispatch"
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/ingress"
@@ -64,7 +65,7 @@
 	*node
 	dispatch *dispatch.Controller
 	link     *dispatch.Link
-	demand   demand
+	demand   demand.Meter
 	// overloaded counts requests refused for overload since the last control tick.
 	overloaded atomic.Int64
 
@@ -309,7 +310,7 @@
 	if !known {
 		work = objective.Seconds() / 3
 	}
-	g.demand.add(j.arrived, j.key, work)
+	g.demand.Add(j.arrived, j.key, work)
 	way := time.Duration(0) // of the answer
 	if !g.local(j) {
 		way = g.link.Delay(j.arrived, j.head.Route, time.Duration(work*float64(time.Second)))
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -413,7 +413,7 @@
 		r.Stamp = 0 // The coordinator sends the whole view.
 	}
 	_, r.Times = m.gate.dispatch.Stats()
-	r.Demand, r.Segments = m.gate.demand.report(now, rows)
+	r.Demand, r.Segments = m.gate.demand.Report(now, rows)
 	return r
 }
 
