--- a/internal/event/sidecar.go
+++ b/internal/event/sidecar.go
@@ -33,6 +33,7 @@
 	TableRefused  = register(Event{6034, log.InfoLevel, "assignment table or record was changed by another writer first", ""})
 	PollRefused   = register(Event{6035, log.InfoLevel, "poll of an earlier coordinator was refused", ""})
 	RangeMoves    = register(Event{6036, log.InfoLevel, "range changes its owner", ""})
+	ViewRefused   = register(Event{6038, log.InfoLevel, "changes of the coordinator's view start from another version; the next poll carries it whole", ""})
 	RecordDeleted = register(Event{6037, log.InfoLevel, "record of a lost host was deleted", ""})
 
 	RequestAnswered  = register(Event{6040, log.InfoLevel, "request was answered", ""})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,6 +70,8 @@
 	Revision uint64             `json:"revision"`
 	Targets  map[string]*Target `json:"targets"`
 	Tables   map[string]*Table  `json:"tables"`
+	// Deltas stand for tables in a message; see History.
+	Deltas map[string]*TableDelta `json:"deltas,omitempty"`
 }
 
 // NewView returns an empty view.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/citronvane/citronvane/internal/keyspace"
 	"github.com/citronvane/citronvane/internal/store"
 )
 
@@ -80,3 +81,47 @@
 	require.Equal(t, v.Stamp(), m.Stamp())
 	require.Empty(t, v.Since(v.Stamp()).Targets)
 }
+
+// Guards against whole tables on the coordinator's link at each change: with 60 nodes and 400 rows these are 2.6 MB.
+func TestHistoryCarriesChangesOfTables(t *testing.T) {
+	table := func(version uint64, rows int, host string) *Table {
+		k := keyspace.Table{}
+		for i := range rows {
+			owner := "a"
+			if i == 5 {
+				owner = host
+			}
+			k.Assign(keyspace.Range{From: i * 100, To: i*100 + 99}, keyspace.Owner{Host: owner, Term: 1}, "")
+		}
+		return &Table{Table: k, Version: version}
+	}
+	h := NewHistory()
+	at := func(version uint64, host string) *View {
+		v := NewView()
+		v.Revision = version
+		v.Tables["s"] = table(version, 400, host)
+		h.Note(v)
+		return v
+	}
+	first, last := at(10, "a"), at(12, "b")
+	d := h.Since(last, 11)
+	require.Empty(t, d.Tables)
+	require.Len(t, d.Deltas["s"].Rows, 1)
+	require.Less(t, len((&Poll{View: d}).Encode()), 1000)
+
+	whole, err := d.Resolve(first)
+	require.NoError(t, err)
+	require.Equal(t, last.Tables["s"], first.Merge(whole).Tables["s"])
+	whole, err = d.Resolve(last)
+	require.NoError(t, err)
+	require.Equal(t, last.Tables["s"], last.Merge(whole).Tables["s"], "known already")
+
+	other := NewView()
+	other.Tables["s"] = table(11, 400, "c")
+	_, err = d.Resolve(other)
+	require.Error(t, err, "another base")
+	_, err = d.Resolve(NewView())
+	require.Error(t, err, "no base")
+	require.NotNil(t, h.Since(last, 0).Tables["s"], "a node without a view gets the whole")
+	require.Empty(t, h.Since(last, 12).Tables)
+}
--- /dev/null
+++ b/internal/fleet/history.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"github.com/citronvane/citronvane/internal/errs"
+	"github.com/citronvane/citronvane/internal/keyspace"
+)
+
+// historyLength is the number of versions of a table that deltas can start from. A node that answers polls lags by a few.
+const historyLength = 16
+
+// TableDelta leads from one version of a table to a later one.
+type TableDelta struct {
+	keyspace.Delta
+	Base    uint64 `json:"base"`
+	Version uint64 `json:"version"`
+}
+
+// History remembers the latest versions of the tables, so that nodes get what changed instead of whole tables.
+type History struct {
+	tables map[string][]*Table // by service, oldest first
+	deltas map[string]map[uint64]*TableDelta
+}
+
+// NewHistory returns an empty history.
+func NewHistory() *History {
+	return &History{tables: map[string][]*Table{}, deltas: map[string]map[uint64]*TableDelta{}}
+}
+
+// Note remembers the tables of the view.
+func (h *History) Note(v *View) {
+	for service, t := range v.Tables {
+		known := h.tables[service]
+		if n := len(known); n > 0 && known[n-1].Version >= t.Version {
+			continue
+		}
+		known = append(known, t)
+		h.tables[service] = known[max(0, len(known)-historyLength):]
+		h.deltas[service] = map[uint64]*TableDelta{}
+	}
+}
+
+// Since returns the parts of the view that are newer than the stamp, as View.Since does, with deltas in place of tables where
+// a node with that stamp has a version that is remembered.
+func (h *History) Since(v *View, stamp uint64) *View {
+	newer := v.Since(stamp)
+	for service, t := range newer.Tables {
+		if d := h.delta(service, t, stamp); d != nil {
+			delete(newer.Tables, service)
+			if newer.Deltas == nil {
+				newer.Deltas = map[string]*TableDelta{}
+			}
+			newer.Deltas[service] = d
+		}
+	}
+	return newer
+}
+
+// delta returns what changed since the version that a node with the stamp has, or nil.
+func (h *History) delta(service string, t *Table, stamp uint64) *TableDelta {
+	var base *Table
+	for _, known := range h.tables[service] {
+		if known.Version <= stamp {
+			base = known
+		}
+	}
+	if base == nil {
+		return nil
+	}
+	if d, ok := h.deltas[service][base.Version]; ok && d.Version == t.Version {
+		return d
+	}
+	delta, ok := t.DeltaFrom(&base.Table)
+	if !ok {
+		return nil
+	}
+	d := &TableDelta{Delta: *delta, Base: base.Version, Version: t.Version}
+	h.deltas[service][base.Version] = d
+	return d
+}
+
+// Resolve replaces the deltas of a view that another node sent by tables, from those of the own view. It fails if they start
+// from other versions; the sender has to send whole tables then.
+func (v *View) Resolve(own *View) (*View, error) {
+	if len(v.Deltas) == 0 {
+		return v, nil
+	}
+	whole := v.Clone()
+	for service, d := range v.Deltas {
+		base := own.Tables[service]
+		if base != nil && base.Version >= d.Version {
+			continue // Known already.
+		}
+		if base == nil || base.Version != d.Base {
+			return nil, errs.New(errs.Conflict, "The next poll carries the whole table.", "fleet: a delta of %q starts from version %d", service, d.Base)
+		}
+		t, err := d.Apply(&base.Table)
+		if err != nil {
+			return nil, err
+		}
+		whole.Tables[service] = &Table{Table: *t, Version: d.Version}
+	}
+	return whole, nil
+}
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -24,6 +24,8 @@
 	polled clock.Instant
 	leader fleet.Poll
 	spread time.Duration
+	// behind says that the node's view can't be brought up to date with changes.
+	behind bool
 	// fetched is when the node last read the configuration by itself.
 	fetched clock.Instant
 
@@ -41,6 +43,7 @@
 	// settled is when the words of the last coordinator have certainly run out.
 	settled clock.Instant
 	outage  outage
+	history *fleet.History
 	members map[string]*polledNode
 	revoked map[keyspace.Owner]clock.Instant
 	// balanced holds when ranges of a service were last moved for balance.
@@ -82,7 +85,7 @@
 	c.polled, c.leader = now, *p
 	c.leader.View = nil
 	if p.View != nil {
-		c.take(now, c.state.view.Load().Merge(p.View))
+		c.receive(now, p.View)
 	}
 	c.gate.setQuarantine(p.Quarantine)
 	c.hear(p)
@@ -96,6 +99,18 @@
 	return c.member.report(now)
 }
 
+// receive merges the newer parts of the coordinator's view.
+func (c *coordinator) receive(now clock.Instant, newer *fleet.View) {
+	own := c.state.view.Load()
+	whole, err := newer.Resolve(own)
+	c.behind = err != nil
+	if err != nil {
+		event.ViewRefused.On(c.log).Str("from", c.leader.Coordinator).Err(err).Send()
+		return
+	}
+	c.take(now, own.Merge(whole))
+}
+
 // tryStore finds out for a coordinator that gets no answer from the store whether this node gets one.
 func (c *coordinator) tryStore() {
 	c.background(func(ctx context.Context) func(clock.Instant) {
@@ -178,6 +193,9 @@
 // take puts a newer view in force at this node.
 func (c *coordinator) take(now clock.Instant, v *fleet.View) {
 	c.state.view.Store(v)
+	if c.leads {
+		c.history.Note(v)
+	}
 	if own := v.Targets[c.settings.Host]; own != nil {
 		if m := c.member; m.record != nil && own.Version > m.record.Version {
 			m.record = own
@@ -295,6 +313,7 @@
 func (c *coordinator) lead(now clock.Instant, round uint64, v *fleet.View) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.leads, c.round, c.stop, c.began, c.spoke, c.outage = true, round, cancel, now, now, outage{heard: now}
+	c.history = fleet.NewHistory()
 	c.members = map[string]*polledNode{}
 	c.revoked = map[keyspace.Owner]clock.Instant{}
 	c.balanced = map[string]clock.Instant{}
@@ -417,7 +436,7 @@
 		p.Evacuated = append(p.Evacuated, zone)
 	}
 	if n.stamp < stamp {
-		p.View = v.Since(n.stamp)
+		p.View = c.history.Since(v, n.stamp)
 	}
 	if n.Report != nil && (t.State == fleet.Serving || t.State == fleet.Leaving) && !c.revoking[t.Owner()] {
 		p.Term, p.Process, p.Reported, p.AuthorityMs = t.Term, n.Report.Process, n.Report.Sent, c.authority(now).Milliseconds()
