--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -68,10 +69,19 @@
 }
 
 func newCoordinator(n *node) *coordinator {
-	return &coordinator{node: n, polled: n.clock.Now().Add(-leadSilence), spread: spread()}
+	c := &coordinator{node: n, polled: n.clock.Now().Add(-leadSilence)}
+	c.spread = c.newSpread()
+	return c
 }
 
-func spread() time.Duration { return time.Duration(rand.Int64N(int64(leadSpread))) }
+// newSpread returns what the node adds to leadSilence: a random part, and more on hosts with small links, which polls would fill.
+func (c *coordinator) newSpread() time.Duration {
+	spread := rand.Float64()
+	if mbps := c.settings.LinkMbps; mbps > 0 {
+		spread += min(1, smallLinkMbps/mbps)
+	}
+	return time.Duration(spread * float64(leadSpread))
+}
 
 // poll takes a poll. The report is marked as refused if a later coordinator is known.
 func (c *coordinator) poll(now clock.Instant, p *fleet.Poll) *fleet.Report {
@@ -211,7 +221,7 @@
 // tick makes the time-driven decisions.
 func (c *coordinator) tick(now clock.Instant) {
 	if !c.leads {
-		if now.Sub(c.polled) > leadSilence+c.spread && !c.busy && !c.state.draining.Load() {
+		if now.Sub(c.polled) > leadSilence+c.spread && !c.busy && c.state.listed.Load() && !c.state.draining.Load() {
 			c.campaign(now)
 		}
 		if now.Sub(c.polled) > unpolled && now.Sub(c.fetched) > refreshInterval {
@@ -236,16 +246,21 @@
 // campaign tries to become the coordinator.
 func (c *coordinator) campaign(now clock.Instant) {
 	c.busy = true
-	c.spread = spread()
+	c.spread = c.newSpread()
+	own := c.member.report(now)
 	c.background(func(ctx context.Context) func(clock.Instant) {
-		lead, version, settled, err := c.takeLead(ctx)
+		lead, version, settled, err := c.takeLead(ctx, own)
 		var v *fleet.View
 		if err == nil {
 			v, err = c.list(ctx)
 		}
 		return func(after clock.Instant) {
 			c.busy = false
-			if err != nil {
+			switch {
+			case errors.Is(err, errCoordinatorAlive):
+				c.polled = after
+				return
+			case err != nil:
 				c.polled = after.Add(-leadSilence + storeRetry) // Others may have been faster.
 				return
 			}
@@ -259,8 +274,26 @@
 	})
 }
 
-// takeLead writes this node as the coordinator. settled says that no earlier coordinator's words can be in force.
-func (c *coordinator) takeLead(ctx context.Context) (lead fleet.Lead, version uint64, settled bool, err error) {
+// errCoordinatorAlive ends a campaign: the node had no poll, as after its start, but the coordinator is there.
+var errCoordinatorAlive = errors.New("the coordinator answers")
+
+// alive asks whether the coordinator that the store names still acts.
+func (c *coordinator) alive(ctx context.Context, old fleet.Lead, own *fleet.Report) bool {
+	t := c.state.view.Load().Targets[old.Host]
+	if old.Resigned || t == nil || old.Host == c.settings.Host {
+		return false
+	}
+	r, err := c.exchange(ctx, t.Relay, methodReport, own.Encode())
+	if err != nil {
+		event.LeadSilent.On(c.log).Str("coordinator", old.Host).Uint64("round", old.Round).Err(err).Send()
+		return false
+	}
+	return r.Leads >= old.Round
+}
+
+// takeLead writes this node as the coordinator, unless the one that is named answers. settled says that no earlier coordinator's
+// words can be in force.
+func (c *coordinator) takeLead(ctx context.Context, own *fleet.Report) (lead fleet.Lead, version uint64, settled bool, err error) {
 	var old fleet.Lead
 	o, err := c.store.Get(ctx, fleet.LeadKind, fleet.CoordinatorName)
 	if err == nil {
@@ -270,6 +303,9 @@
 	} else if !errs.Is(err, errs.NotFound) {
 		return lead, 0, false, err
 	}
+	if c.alive(ctx, old, own) {
+		return lead, 0, false, errCoordinatorAlive
+	}
 	lead = fleet.Lead{Host: c.settings.Host, Round: max(old.Round, o.Version) + 1}
 	version, err = c.store.Put(ctx, fleet.LeadKind, fleet.CoordinatorName, lead.Encode(), o.Version)
 	return lead, version, o.Version == 0 || old.Resigned, err
@@ -328,6 +364,14 @@
 	c.tick(now)
 }
 
+// leadRound returns the round of the lead, 0 if this node does not lead.
+func (c *coordinator) leadRound() uint64 {
+	if !c.leads {
+		return 0
+	}
+	return c.round
+}
+
 func (c *coordinator) resign(why string) {
 	event.LeadLost.On(c.log).Str("why", why).Uint64("round", c.round).Send()
 	c.leads = false
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -321,6 +321,33 @@
 	return <-reply
 }
 
+// Guards against nodes that take the lead from a working coordinator because they have just started and were not polled yet.
+func TestStartingNodesLeaveTheLead(t *testing.T) {
+	r := newRig(t, 3)
+	round := func() uint64 {
+		for _, h := range r.hosts {
+			if reply := make(chan uint64, 1); h.node.post(func(clock.Instant) { reply <- h.node.coordinator.leadRound() }) {
+				if round := <-reply; round > 0 {
+					return round
+				}
+			}
+		}
+		return 0
+	}
+	first := round()
+	require.NotZero(t, first)
+	for range 3 {
+		for _, h := range r.hosts {
+			if !h.leads() {
+				r.restart(h)
+			}
+		}
+		time.Sleep(leadSpread)
+		require.Equal(t, first, round())
+	}
+	r.noFault()
+}
+
 // A node that alone can't reach the store goes on by the coordinator's word. A coordinator that can't reach it gives its
 // word no longer than its authority lasts, and another node takes its place.
 func TestNodesCutOffFromTheStore(t *testing.T) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -139,7 +139,7 @@
 		}
 		n.post(func(now clock.Instant) {
 			n.coordinator.reported(now, r)
-			reply <- &fleet.Report{Host: n.settings.Host}
+			reply <- &fleet.Report{Host: n.settings.Host, Leads: n.coordinator.leadRound()}
 		})
 	}
 	select {
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -46,6 +46,8 @@
 	leadSilence = 2500 * time.Millisecond
 	// leadSpread is the random part added to leadSilence, so that nodes try one after the other.
 	leadSpread = 800 * time.Millisecond
+	// smallLinkMbps is the rate of a link on which polls of a large fleet take a good part; a node on one waits leadSpread longer.
+	smallLinkMbps = 15
 	// gatherTime is how long the first assignment waits for targets to register.
 	gatherTime = 4 * time.Second
 	// watchWait is how long a watch of the operator's objects waits; the platform bounds it to 30 s.
