--- a/internal/relay/clientconn.go
+++ b/internal/relay/clientconn.go
@@ -28,6 +28,10 @@
 	maxUnanswered = 2
 	// maxIdle is when a connection without streams is closed.
 	maxIdle = 5 * time.Minute
+	// maxPauses bounds the intervals in a row that don't count because this process stood still.
+	maxPauses = 4
+	// pauseLimit is how late a deadline may be noticed before it shows that this process stood still, as in package lease.
+	pauseLimit = 200 * time.Millisecond
 	// lastStream is the identity after which a connection takes no new streams.
 	lastStream = 1 << 31
 )
@@ -143,6 +147,7 @@
 	var silence prober
 	for {
 		interval := c.await()
+		waiting := time.Now()
 		n, err := c.net.Read(c.buffer)
 		if n > 0 {
 			silence.heard()
@@ -153,7 +158,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			if err := c.probe(&silence, interval); err != nil {
+			if err := c.probe(&silence, interval, time.Since(waiting)); err != nil {
 				return err
 			}
 		default:
@@ -183,19 +188,25 @@
 type prober struct {
 	quiet      time.Duration
 	unanswered int
+	pauses     int
 }
 
 // heard records that something arrived.
 func (p *prober) heard() { *p = prober{} }
 
 // silent returns whether to probe the server, and whether the connection is lost. Silence while nothing was asked for says
-// nothing, so that only unanswered probes count.
-func (p *prober) silent(streams int, waited time.Duration) (probe, lost bool) {
-	p.quiet += waited
+// nothing, so that only unanswered probes count; neither does silence while this process stood still, which took much longer
+// than the interval.
+func (p *prober) silent(streams int, interval, took time.Duration) (probe, lost bool) {
+	p.quiet += interval
 	if streams == 0 {
 		p.unanswered = 0
 		return false, p.quiet >= maxIdle
 	}
+	if took > interval+pauseLimit && p.pauses < maxPauses {
+		p.pauses++
+		return true, false
+	}
 	if p.unanswered >= maxUnanswered {
 		return false, true
 	}
@@ -204,10 +215,10 @@
 }
 
 // probe looks after a connection that has been silent.
-func (c *clientConn) probe(silence *prober, waited time.Duration) error {
+func (c *clientConn) probe(silence *prober, interval, took time.Duration) error {
 	c.out.trim()
 	streams := c.load()
-	probe, lost := silence.silent(streams, waited)
+	probe, lost := silence.silent(streams, interval, took)
 	switch {
 	case lost && streams > 0:
 		return errs.New(errs.Unavailable, "", "the server left %d probes unanswered", maxUnanswered)
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -25,6 +25,9 @@
 	polled clock.Instant
 	leader fleet.Poll
 	spread time.Duration
+	// fetching says that a read of the configuration is under way; fetchFailures counts those in a row that brought nothing.
+	fetching      bool
+	fetchFailures int
 	// behind says that the node's view can't be brought up to date with changes.
 	behind bool
 	// fetched is when the node last read the configuration by itself.
@@ -109,6 +112,26 @@
 	return c.member.report(now)
 }
 
+// fetchBehind reads the configuration that the coordinator names, unless the node's own watch brings it. A store that refuses the
+// node is asked less and less often.
+func (c *coordinator) fetchBehind(version uint64) {
+	c.fetching = true
+	pause := min(watchPatience<<min(c.fetchFailures, 8), maxFetchPause)
+	c.background(func(ctx context.Context) func(clock.Instant) {
+		sleep(ctx, pause)
+		if c.state.configAt.Load() < version {
+			c.fetchConfig(ctx)
+		}
+		return func(clock.Instant) {
+			c.fetching = false
+			c.fetchFailures++
+			if c.state.configAt.Load() >= version {
+				c.fetchFailures = 0
+			}
+		}
+	})
+}
+
 // receive merges the newer parts of the coordinator's view.
 func (c *coordinator) receive(now clock.Instant, newer *fleet.View) {
 	own := c.state.view.Load()
@@ -135,11 +158,8 @@
 
 // hear takes what the poll says of the operator's objects.
 func (c *coordinator) hear(p *fleet.Poll) {
-	if p.Config > c.state.configAt.Load() {
-		c.background(func(ctx context.Context) func(clock.Instant) {
-			c.fetchConfig(ctx)
-			return func(clock.Instant) {}
-		})
+	if p.Config > c.state.configAt.Load() && !c.fetching {
+		c.fetchBehind(p.Config)
 	}
 	if p.EvacuatedAt > c.state.evacuatedAt.Load() {
 		zones := make([]store.Change, len(p.Evacuated))
@@ -402,6 +422,7 @@
 				c.watched(now, changes, revision, listed)
 			}
 		})
+		sleep(ctx, gatherEvents)
 	}
 }
 
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -334,6 +334,7 @@
 	m.state.view.Store(m.state.view.Load().With(want))
 	m.reconcile(now)
 	m.publish(now)
+	m.coordinator.tell(m.report(now))
 }
 
 // tick makes the time-driven decisions.
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -26,8 +26,8 @@
 	// usualHold bridges the restart of a node (about 1 s) and two lost heartbeats.
 	usualHold = 3500 * time.Millisecond
 	// checkBelow is the rest of the lease from which the node reads its record itself: the coordinator's word, which
-	// comes each second, has failed to come.
-	checkBelow = 2200 * time.Millisecond
+	// comes each second for a report of the second before and is noticed at a tick, has failed to come.
+	checkBelow = 1450 * time.Millisecond
 	// checkPause is the time between two such reads.
 	checkPause = 700 * time.Millisecond
 	// controlTick is how often time-driven decisions are made.
@@ -50,12 +50,20 @@
 	smallLinkMbps = 15
 	// gatherTime is how long the first assignment waits for targets to register.
 	gatherTime = 4 * time.Second
-	// watchWait is how long a watch of the operator's objects waits; the platform bounds it to 30 s.
-	watchWait = 20 * time.Second
+	// watchWait is how long a watch of the operator's objects waits, the platform's longest.
+	watchWait = 30 * time.Second
+	// watchPatience is how long a node waits for its own watch to bring a configuration that the coordinator has read.
+	watchPatience = 200 * time.Millisecond
+	// maxFetchPause bounds the pause between reads that fail. A configuration has to be in force 2 s after a node is in touch again.
+	maxFetchPause = 800 * time.Millisecond
 	// leadWatchWait is the same for the coordinator, which notices a silent connection sooner.
 	leadWatchWait = 5 * time.Second
-	// storeRetry is the pause after a failed call.
-	storeRetry = 300 * time.Millisecond
+	// storeRetry is the pause after a failed call. Watches and lists that fail in a row pause up to maxStoreRetry.
+	storeRetry    = 300 * time.Millisecond
+	maxStoreRetry = 1200 * time.Millisecond
+	// gatherEvents is how long the coordinator collects changes of the fleet for one answer of a watch. Its own writes, which are most
+	// of them, are known, and nodes report theirs with the next poll.
+	gatherEvents = 200 * time.Millisecond
 )
 
 // own is what traffic knows of the host's own target.
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -25,6 +25,7 @@
 	}
 	var since uint64
 	listed := false
+	pause := storeRetry
 	for ctx.Err() == nil {
 		var changes []store.Change
 		var revision uint64
@@ -39,13 +40,14 @@
 			if !listed || len(changes) > 0 {
 				apply(changes, revision, !listed)
 			}
-			listed, since = true, max(since, revision)
+			listed, since, pause = true, max(since, revision), storeRetry
 		case errs.Is(err, errs.Compacted):
 			listed = false
 		default:
 			// A watch that failed may have missed nothing, but a list settles it for the price of one call.
 			listed = false
-			sleep(ctx, storeRetry+time.Duration(rand.Int64N(int64(storeRetry))))
+			sleep(ctx, pause+time.Duration(rand.Int64N(int64(pause))))
+			pause = min(2*pause, maxStoreRetry)
 		}
 	}
 }
