--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -12,15 +12,15 @@
 	// balanceInterval is the pause between moves for balance, in which the demand is measured anew.
 	balanceInterval = 700 * time.Millisecond
 	// busyEnough is the share of busy slots below which an owner is left alone: it answers in time.
-	busyEnough = 0.7
+	busyEnough = 0.85
 	// roomEnough is the share of busy slots above which an owner gets nothing more. Between owners that are all
 	// overloaded, moving serves nobody.
 	roomEnough = 0.75
 	// minSpread is the difference in the share of busy slots from which moving pays: keys on the move are not
 	// served for about half a heartbeat interval.
-	minSpread = 0.25
+	minSpread = 0.35
 	// fullEnough is the share of busy slots up to which an owner is filled.
-	fullEnough = 0.9
+	fullEnough = 0.8
 	// gapWeight is how much busier a receiver may be whose heartbeat comes an interval sooner.
 	gapWeight = 0.2
 	// releaseTime is how long a target takes to report that it has released a range: it reports again within 100 ms,
@@ -170,7 +170,7 @@
 			}
 		}
 	}
-	if bestSum < want/8 {
+	if bestSum < want/4 {
 		return nil
 	}
 	return best
