--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -13,8 +13,10 @@
 const (
 	// remotePenalty is added to the expected wait of a target in another zone: it costs a round trip between zones.
 	remotePenalty = 5 * time.Millisecond
-	// remoteBulkPenalty is the same for large answers, whose bytes between zones are what operators pay for.
-	remoteBulkPenalty = 250 * time.Millisecond
+	// remotePerKiB is added for each KiB of the answer, since operators pay for bytes between zones.
+	remotePerKiB = 6 * time.Millisecond
+	// remoteShare bounds both by the latency objective, so that callers don't wait for bytes that are saved.
+	remoteShare = 0.7
 	// firstEject and maxEject bound how long a target that could not be reached is left out.
 	firstEject = 300 * time.Millisecond
 	maxEject   = 3 * time.Second
@@ -28,8 +30,9 @@
 	drawn = 2
 	// ownZoneWeight is how much more often a target in the own zone is drawn, since bytes between zones cost.
 	ownZoneWeight = 2
-	// ownZoneBulkWeight is the same for large answers.
-	ownZoneBulkWeight = 16
+	// ownZonePerKiB is added to it for each KiB of the answer, up to maxOwnZoneWeight.
+	ownZonePerKiB    = 0.2
+	maxOwnZoneWeight = 16
 	// sizeWeight is the weight of one answer in the mean size of a route's answers.
 	sizeWeight = 0.05
 	// unknownBytes and unknownBulkBytes are the sizes that are assumed of answers before the first one.
@@ -80,6 +83,8 @@
 	Route string
 	// Bulk says that the answer is large.
 	Bulk bool
+	// Objective is the latency objective of the route, 0 if it has none.
+	Objective time.Duration
 }
 
 // Size records the size of an answer.
@@ -133,10 +138,10 @@
 func (p *Pool) Choose(now clock.Instant, candidates []Candidate, ask Ask, tried map[string]bool) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	bulk, bytes := ask.Bulk, p.size(ask)
+	bytes := p.size(ask)
 	var all, open, ejected []option
 	for i, c := range candidates {
-		o := option{index: i, Candidate: c, peer: p.peer(c.Host), near: c.Zone == p.zone, bytes: bytes}
+		o := option{index: i, Candidate: c, peer: p.peer(c.Host), near: c.Zone == p.zone, bytes: bytes, objective: ask.Objective}
 		all = append(all, o)
 		switch {
 		case tried[c.Host]:
@@ -151,8 +156,8 @@
 	}
 	usual := usualOf(all)
 	best, bestCost := -1, time.Duration(0)
-	for _, o := range known(now, open, bulk, usual) {
-		if cost := o.cost(now, bulk, usual); best < 0 || cost < bestCost {
+	for _, o := range known(now, open, usual) {
+		if cost := o.cost(now, usual); best < 0 || cost < bestCost {
 			best, bestCost = o.index, cost
 		}
 	}
@@ -166,7 +171,8 @@
 	peer *peer
 	near bool // in the own zone
 	// bytes is the expected size of the answer.
-	bytes float64
+	bytes     float64
+	objective time.Duration
 	// race is when it is drawn: the lowest ones are.
 	race float64
 }
@@ -195,14 +201,14 @@
 
 // known returns the options whose load is fresh, and drawn ones of the others. Those that are quicker are drawn more often, in
 // the ratio of the requests that they can bear.
-func known(now clock.Instant, options []option, bulk bool, usual usualLoad) []option {
+func known(now clock.Instant, options []option, usual usualLoad) []option {
 	var fresh, stale []option
 	for _, o := range options {
 		if o.fresh(now) {
 			fresh = append(fresh, o)
 			continue
 		}
-		o.race = rand.ExpFloat64() / o.capacity(bulk, usual)
+		o.race = rand.ExpFloat64() / o.capacity(usual)
 		stale = append(stale, o)
 	}
 	slices.SortFunc(stale, func(a, b option) int { return cmp.Compare(a.race, b.race) })
@@ -220,22 +226,19 @@
 }
 
 // capacity returns how many requests a second the target can bear, and more for one in the own zone.
-func (o *option) capacity(bulk bool, usual usualLoad) float64 {
+func (o *option) capacity(usual usualLoad) float64 {
 	capacity := float64(max(1, o.Slots)) / o.mean(usual).Seconds()
 	if rate := o.peer.load.LinkRate; rate > 0 {
 		capacity = min(capacity, rate/o.bytes)
 	}
-	switch {
-	case o.near && bulk:
-		return capacity * ownZoneBulkWeight
-	case o.near:
-		return capacity * ownZoneWeight
+	if o.near {
+		capacity *= min(maxOwnZoneWeight, ownZoneWeight+ownZonePerKiB*o.bytes/1024)
 	}
 	return capacity
 }
 
 // cost is the expected time to the answer, with a little noise that keeps nodes from choosing alike.
-func (o *option) cost(now clock.Instant, bulk bool, usual usualLoad) time.Duration {
+func (o *option) cost(now clock.Instant, usual usualLoad) time.Duration {
 	mean, slots := o.mean(usual), max(1, o.Slots)
 	stated := o.peer.load.Busy
 	if !o.fresh(now) {
@@ -249,16 +252,21 @@
 	if rate := o.peer.load.LinkRate; rate > 0 {
 		cost += max(0, o.queue(now)-mean) + time.Duration(o.bytes/rate*float64(time.Second))
 	}
-	switch {
-	case o.near:
-	case bulk:
-		cost += remoteBulkPenalty
-	default:
-		cost += remotePenalty
+	if !o.near {
+		cost += o.crossing()
 	}
 	return cost + time.Duration(rand.Int64N(int64(mean)/16+1))
 }
 
+// crossing is what an answer from another zone is held to cost.
+func (o *option) crossing() time.Duration {
+	cost := remotePenalty + time.Duration(o.bytes/1024*float64(remotePerKiB))
+	if o.objective > 0 {
+		cost = min(cost, time.Duration(remoteShare*float64(o.objective)))
+	}
+	return cost
+}
+
 // queue returns the expected wait for the host's link. What was stated fades, so that the host is asked again after a while.
 func (o *option) queue(now clock.Instant) time.Duration {
 	left := 1 - now.Sub(o.peer.loadAt).Seconds()/queueMemory.Seconds()
