--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -12,6 +12,7 @@
 	"github.com/citronvane/citronvane/internal/keyspace"
 	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/tenure"
+	"github.com/citronvane/citronvane/platform"
 )
 
 const (
@@ -54,7 +55,9 @@
 
 func newMember(n *node) *member {
 	hold := max(usualHold, time.Duration(2.5*float64(n.settings.HeartbeatInterval())))
-	return &member{node: n, holder: tenure.NewHolder(n.clock.Now(), tenure.Options{LeaseTerm: leaseTerm, Hold: min(hold, n.bounds.MaxHold)})}
+	return &member{node: n, holder: tenure.NewHolder(n.clock.Now(), tenure.Options{
+		LeaseTerm: leaseTerm, Hold: min(hold, n.bounds.MaxHold), Size: platform.GrantSize, MaxSize: platform.MaxGrantSize,
+	})}
 }
 
 // Heartbeat answers a heartbeat of the target.
@@ -125,6 +128,9 @@
 	})
 	m.reconcile(now)
 	grant := m.holder.Grant(now, m.rows())
+	if grant.Left > 0 {
+		event.GrantCut.On(m.log).Str("instance", b.Instance).Int("rows", len(grant.Rows)).Int("left", grant.Left).Send()
+	}
 	m.publish(now)
 	m.nudge(now)
 	return grant
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -55,6 +55,8 @@
 	// Renew is false if the answer says nothing about ranges; the target's holds then run out.
 	Renew bool
 	Rows  []keyspace.Row
+	// Left is the number of rows for which the answer has no room.
+	Left int
 	// Hold counts from when the target sent the heartbeat.
 	Hold time.Duration
 }
@@ -65,6 +67,9 @@
 	LeaseTerm time.Duration
 	// Hold is the usual length of a grant.
 	Hold time.Duration
+	// Size returns what a row takes of an answer to a heartbeat, which has MaxSize at most. Without it nothing is bounded.
+	Size    func(keyspace.Row) int
+	MaxSize int
 }
 
 // Holder is the state of one host's target.
@@ -188,10 +193,21 @@
 		return Grant{}
 	}
 	grant := Grant{Renew: true, Hold: hold}
+	size := 0
 	for _, r := range rows {
-		if r.Owner == h.owner && r.Next.IsZero() {
-			grant.Rows = append(grant.Rows, r)
+		if r.Owner != h.owner || !r.Next.IsZero() {
+			continue
+		}
+		if h.warm(r) {
+			r.Handover = "" // The token has done its work, and answers are bounded.
+		}
+		if h.options.Size != nil {
+			if size += h.options.Size(r); size > h.options.MaxSize {
+				grant.Left++
+				continue
+			}
 		}
+		grant.Rows = append(grant.Rows, r)
 	}
 	h.given, h.givenSeq = grant.Rows, h.last.Sequence
 	if len(grant.Rows) > 0 {
@@ -200,6 +216,16 @@
 	return grant
 }
 
+// warm reports whether the target held the whole row under its fencing token in the last heartbeat.
+func (h *Holder) warm(r keyspace.Row) bool {
+	for _, held := range h.last.Holds {
+		if held.Fence == r.Fence && held.Covers(r.Range) {
+			return true
+		}
+	}
+	return false
+}
+
 // Ended reports whether all grants have certainly ended.
 func (h *Holder) Ended(now clock.Instant) bool { return now >= h.ends }
 
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -169,3 +169,34 @@
 	h.Heard(at(0), b)
 	require.Equal(t, Grant{Renew: true}, h.Grant(at(0), []keyspace.Row{row(0, 9, self, keyspace.Owner{})}))
 }
+
+// Guards against answers that outgrow the platform's bound when few targets are left: tokens are sent until the target holds the
+// row, and what has no room is left out.
+func TestGrantIsBounded(t *testing.T) {
+	o := options
+	o.Size = func(r keyspace.Row) int { return 10 + len(r.Handover) }
+	o.MaxSize = 45
+	now := clock.Instant(time.Hour)
+	owner := keyspace.Owner{Host: "h", Term: 1}
+	h := NewHolder(now, o)
+	h.Begin(now, owner, 7, now)
+	var rows []keyspace.Row
+	for i := range 4 {
+		rows = append(rows, keyspace.Row{Range: keyspace.Range{From: i * 10, To: i*10 + 9}, Owner: owner, Fence: uint64(i + 1), Handover: "token"})
+	}
+	beat := &Heartbeat{Instance: "i", Born: 7, Sequence: 1}
+	h.Heard(now, beat)
+	grant := h.Grant(now, rows)
+	require.Len(t, grant.Rows, 3)
+	require.Equal(t, 1, grant.Left)
+	require.Equal(t, "token", grant.Rows[0].Handover)
+	beat = &Heartbeat{Instance: "i", Born: 7, Sequence: 2}
+	for _, r := range grant.Rows {
+		beat.Holds = append(beat.Holds, Held{r.Range, r.Fence})
+	}
+	h.Heard(now, beat)
+	grant = h.Grant(now, rows)
+	require.Len(t, grant.Rows, 4, "the tokens of held rows are not sent again")
+	require.Zero(t, grant.Left)
+	require.Equal(t, "token", rows[0].Handover, "the table keeps its tokens")
+}
