--- a/internal/relay/clientconn.go
+++ b/internal/relay/clientconn.go
@@ -23,9 +23,9 @@
 	probeInterval = 400 * time.Millisecond
 	// idleInterval is how often a connection without streams is looked at.
 	idleInterval = 5 * time.Second
-	// maxUnanswered is the number of probes without an answer after which a connection with streams counts as lost. A
-	// frozen server has lost its lease long before.
-	maxUnanswered = 2
+	// maxUnanswered is the number of probes without an answer after which a connection with streams counts as lost. Answers on a
+	// full link of a small host may be late by more than a second, and giving their connection up loses them all.
+	maxUnanswered = 4
 	// maxIdle is when a connection without streams is closed.
 	maxIdle = 5 * time.Minute
 	// maxPauses bounds the intervals in a row that don't count because this process stood still.
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -25,6 +25,8 @@
 	polled clock.Instant
 	leader fleet.Poll
 	spread time.Duration
+	// asked is when a campaign ended without the lead. It puts the next one off, but does not stand for a poll.
+	asked clock.Instant
 	// fetching says that a read of the configuration is under way; fetchFailures counts those in a row that brought nothing.
 	fetching      bool
 	fetchFailures int
@@ -241,7 +243,7 @@
 // tick makes the time-driven decisions.
 func (c *coordinator) tick(now clock.Instant) {
 	if !c.leads {
-		if now.Sub(c.polled) > leadSilence+c.spread && !c.busy && c.state.listed.Load() && !c.state.draining.Load() {
+		if now.Sub(max(c.polled, c.asked)) > leadSilence+c.spread && !c.busy && c.state.listed.Load() && !c.state.draining.Load() {
 			c.campaign(now)
 		}
 		if now.Sub(c.polled) > unpolled && now.Sub(c.fetched) > refreshInterval {
@@ -278,10 +280,10 @@
 			c.busy = false
 			switch {
 			case errors.Is(err, errCoordinatorAlive):
-				c.polled = after
+				c.asked = after
 				return
 			case err != nil:
-				c.polled = after.Add(-leadSilence + storeRetry) // Others may have been faster.
+				c.asked = after.Add(-leadSilence + storeRetry) // Others may have been faster.
 				return
 			}
 			c.settled = after.Add(leadTerm)
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -55,12 +55,13 @@
 	// watchPatience is how long a node waits for its own watch to bring a configuration that the coordinator has read.
 	watchPatience = 200 * time.Millisecond
 	// maxFetchPause bounds the pause between reads that fail. A configuration has to be in force 2 s after a node is in touch again.
-	maxFetchPause = 800 * time.Millisecond
+	maxFetchPause = 400 * time.Millisecond
 	// leadWatchWait is the same for the coordinator, which notices a silent connection sooner.
 	leadWatchWait = 5 * time.Second
-	// storeRetry is the pause after a failed call. Watches and lists that fail in a row pause up to maxStoreRetry.
+	// storeRetry is the pause after a failed call. Watches and lists that fail in a row pause up to maxStoreRetry
+	// and a random part as long; after an outage a configuration has to be in force within 2 s.
 	storeRetry    = 300 * time.Millisecond
-	maxStoreRetry = 1200 * time.Millisecond
+	maxStoreRetry = 600 * time.Millisecond
 	// gatherEvents is how long the coordinator collects changes of the fleet for one answer of a watch. Its own writes, which are most
 	// of them, are known, and nodes report theirs with the next poll.
 	gatherEvents = 200 * time.Millisecond
