--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/keyspace"
@@ -71,6 +72,22 @@
 	Demand float64 `json:"demand"`
 }
 
+// MarshalJSON writes a list, since reports have many segments.
+func (s Segment) MarshalJSON() ([]byte, error) {
+	return json.Marshal([3]float64{float64(s.From), float64(s.To), math.Round(s.Demand*1e3) / 1e3})
+}
+
+// UnmarshalJSON reads what MarshalJSON writes.
+func (s *Segment) UnmarshalJSON(data []byte) error {
+	var fields [3]float64
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return err
+	}
+	s.Range = keyspace.Range{From: int(fields[0]), To: int(fields[1])}
+	s.Demand = fields[2]
+	return nil
+}
+
 // Release says that the target holds nothing of the range any more.
 type Release struct {
 	keyspace.Range
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -526,13 +526,13 @@
 				return
 			}
 			n.stamp = r.Stamp
-			c.reported(after, r)
+			c.reported(after, r, len(r.Released) > 0)
 		}
 	})
 }
 
-// reported takes a report, as the answer to a poll or between polls.
-func (c *coordinator) reported(now clock.Instant, r *fleet.Report) {
+// reported takes a report, as the answer to a poll or between polls. Urgent ones are acted on at once, the others at the next tick.
+func (c *coordinator) reported(now clock.Instant, r *fleet.Report, urgent bool) {
 	n := c.members[r.Host]
 	if !c.leads || n == nil {
 		return
@@ -543,16 +543,18 @@
 	if own := r.Record; own != nil {
 		if old := c.state.view.Load().Targets[own.Host]; old != nil && old.Version < own.Version {
 			c.take(now, c.state.view.Load().With(own)) // The watch may miss changes.
-			c.plan(now)
+			urgent = true
 		}
 	}
-	c.plan(now)
+	if urgent {
+		c.plan(now)
+	}
 }
 
 // tell sends the node's own report to the coordinator between polls.
 func (c *coordinator) tell(r *fleet.Report) {
 	if c.leads {
-		c.reported(c.clock.Now(), r)
+		c.reported(c.clock.Now(), r, true)
 		return
 	}
 	if c.leader.Relay == "" {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -138,7 +138,7 @@
 			return nil, err
 		}
 		n.post(func(now clock.Instant) {
-			n.coordinator.reported(now, r)
+			n.coordinator.reported(now, r, true)
 			reply <- &fleet.Report{Host: n.settings.Host, Leads: n.coordinator.leadRound()}
 		})
 	}
