--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/citronvane/citronvane/internal/clock"
@@ -27,9 +24,8 @@
 	spread time.Duration
 	// asked is when a campaign ended without the lead. It puts the next one off, but does not stand for a poll.
 	asked clock.Instant
-	// fetching says that a read of the configuration is under way; fetchFailures counts those in a row that brought nothing.
-	fetching      bool
-	fetchFailures int
+	// fetching says that a read of the configuration is under way.
+	fetching bool
 	// behind says that the node's view can't be brought up to date with changes.
 	behind bool
 	// fetched is when the node last read the configuration by itself.
@@ -79,15 +75,6 @@
 	return c
 }
 
-// newSpread returns what the node adds to leadSilence: a random part, and more on hosts with small links, which polls would fill.
-func (c *coordinator) newSpread() time.Duration {
-	spread := rand.Float64()
-	if mbps := c.settings.LinkMbps; mbps > 0 {
-		spread += min(1, smallLinkMbps/mbps)
-	}
-	return time.Duration(spread * float64(leadSpread))
-}
-
 // poll takes a poll. The report is marked as refused if a later coordinator is known.
 func (c *coordinator) poll(now clock.Instant, p *fleet.Poll) *fleet.Report {
 	if p.Round < c.leader.Round || p.Round == c.leader.Round && c.leader.Coordinator != "" && p.Coordinator != c.leader.Coordinator || c.leads && p.Round < c.round {
@@ -114,22 +101,16 @@
 	return c.member.report(now)
 }
 
-// fetchBehind reads the configuration that the coordinator names, unless the node's own watch brings it. A store that refuses the
-// node is asked less and less often.
+// fetchBehind reads the configuration that the coordinator names, unless the node's own watch brings it.
 func (c *coordinator) fetchBehind(version uint64) {
 	c.fetching = true
-	pause := min(watchPatience<<min(c.fetchFailures, 8), maxFetchPause)
 	c.background(func(ctx context.Context) func(clock.Instant) {
-		sleep(ctx, pause)
+		sleep(ctx, watchPatience)
 		if c.state.configAt.Load() < version {
 			c.fetchConfig(ctx)
 		}
 		return func(clock.Instant) {
 			c.fetching = false
-			c.fetchFailures++
-			if c.state.configAt.Load() >= version {
-				c.fetchFailures = 0
-			}
 		}
 	})
 }
@@ -188,40 +169,6 @@
 	}
 }
 
-// checkLead reads whether this node still leads.
-func (c *coordinator) checkLead(ctx context.Context) {
-	sent := c.clock.Now()
-	o, err := c.store.Get(ctx, fleet.LeadKind, fleet.CoordinatorName)
-	if err != nil {
-		return // The authority runs out unless a later check succeeds.
-	}
-	var lead fleet.Lead
-	err = json.Unmarshal(o.Value, &lead)
-	c.post(func(clock.Instant) {
-		switch {
-		case ctx.Err() != nil || !c.leads:
-		case err != nil || lead.Host != c.settings.Host || lead.Round != c.round:
-			c.resign("the store names another coordinator")
-		default:
-			c.spoke = c.speaks(c.clock.Now())
-			c.confirmed = max(c.confirmed, sent)
-		}
-	})
-}
-
-// authority returns how long this node is certain to be the only coordinator that can have ranges reassigned.
-func (c *coordinator) authority(now clock.Instant) time.Duration {
-	return max(0, c.confirmed.Add(leadTerm-leadMargin).Sub(now))
-}
-
-// speaks returns since when this node can give its word without a break.
-func (c *coordinator) speaks(now clock.Instant) clock.Instant {
-	if c.authority(now) == 0 {
-		return now
-	}
-	return c.spoke
-}
-
 // take puts a newer view in force at this node.
 func (c *coordinator) take(now clock.Instant, v *fleet.View) {
 	c.state.view.Store(v)
@@ -265,92 +212,6 @@
 	c.forget(now)
 }
 
-// campaign tries to become the coordinator.
-func (c *coordinator) campaign(now clock.Instant) {
-	c.busy = true
-	c.spread = c.newSpread()
-	own := c.member.report(now)
-	c.background(func(ctx context.Context) func(clock.Instant) {
-		lead, version, settled, err := c.takeLead(ctx, own)
-		var v *fleet.View
-		if err == nil {
-			v, err = c.list(ctx)
-		}
-		return func(after clock.Instant) {
-			c.busy = false
-			switch {
-			case errors.Is(err, errCoordinatorAlive):
-				c.asked = after
-				return
-			case err != nil:
-				c.asked = after.Add(-leadSilence + storeRetry) // Others may have been faster.
-				return
-			}
-			c.settled = after.Add(leadTerm)
-			if settled {
-				c.settled = after
-			}
-			c.confirmed, c.leadVersion = now, version
-			c.lead(after, lead.Round, v)
-		}
-	})
-}
-
-// errCoordinatorAlive ends a campaign: the node had no poll, as after its start, but the coordinator is there.
-var errCoordinatorAlive = errors.New("the coordinator answers")
-
-// alive asks whether the coordinator that the store names still acts.
-func (c *coordinator) alive(ctx context.Context, old fleet.Lead, own *fleet.Report) bool {
-	t := c.state.view.Load().Targets[old.Host]
-	if old.Resigned || t == nil || old.Host == c.settings.Host {
-		return false
-	}
-	r, err := c.exchange(ctx, t.Relay, methodReport, own.Encode())
-	if err != nil {
-		event.LeadSilent.On(c.log).Str("coordinator", old.Host).Uint64("round", old.Round).Err(err).Send()
-		return false
-	}
-	return r.Leads >= old.Round
-}
-
-// takeLead writes this node as the coordinator, unless the one that is named answers. settled says that no earlier coordinator's
-// words can be in force.
-func (c *coordinator) takeLead(ctx context.Context, own *fleet.Report) (lead fleet.Lead, version uint64, settled bool, err error) {
-	var old fleet.Lead
-	o, err := c.store.Get(ctx, fleet.LeadKind, fleet.CoordinatorName)
-	if err == nil {
-		if err := json.Unmarshal(o.Value, &old); err != nil {
-			event.ObjectUnread.On(c.log).Str("object", o.Name).Err(err).Send() // It is replaced.
-		}
-	} else if !errs.Is(err, errs.NotFound) {
-		return lead, 0, false, err
-	}
-	if c.alive(ctx, old, own) {
-		return lead, 0, false, errCoordinatorAlive
-	}
-	lead = fleet.Lead{Host: c.settings.Host, Round: max(old.Round, o.Version) + 1}
-	version, err = c.store.Put(ctx, fleet.LeadKind, fleet.CoordinatorName, lead.Encode(), o.Version)
-	return lead, version, o.Version == 0 || old.Resigned, err
-}
-
-// leave gives the lead up for good, so that the next coordinator does not wait for this one's words.
-func (c *coordinator) leave(now clock.Instant) {
-	if !c.leads {
-		return
-	}
-	settled := now >= c.settled
-	c.resign("the node stops")
-	c.background(func(ctx context.Context) func(clock.Instant) {
-		if settled {
-			last := fleet.Lead{Host: c.settings.Host, Round: c.round, Resigned: true}
-			if _, err := c.store.Put(ctx, fleet.LeadKind, fleet.CoordinatorName, last.Encode(), c.leadVersion); err != nil {
-				event.TableRefused.On(c.log).Str("object", fleet.CoordinatorName).Err(err).Send() // The next one waits.
-			}
-		}
-		return func(clock.Instant) {}
-	})
-}
-
 // list reads the whole view.
 func (n *node) list(ctx context.Context) (*fleet.View, error) {
 	objects, revision, err := n.store.List(ctx, fleet.Kind)
@@ -367,40 +228,6 @@
 	return v, nil
 }
 
-// lead begins to act as the coordinator.
-func (c *coordinator) lead(now clock.Instant, round uint64, v *fleet.View) {
-	ctx, cancel := context.WithCancel(c.ctx)
-	c.leads, c.round, c.stop, c.began, c.spoke, c.outage = true, round, cancel, now, now, outage{heard: now}
-	c.history = fleet.NewHistory()
-	c.members = map[string]*polledNode{}
-	c.revoked = map[keyspace.Owner]clock.Instant{}
-	c.balanced = map[string]clock.Instant{}
-	c.writing = map[string]bool{}
-	c.revoking = map[keyspace.Owner]bool{}
-	c.expected = nil
-	c.crashes = map[uint64]map[string]int{}
-	event.LeadTaken.On(c.log).Uint64("round", round).Uint64("revision", v.Revision).Send()
-	c.take(now, c.state.view.Load().Merge(v))
-	go c.watch(ctx, v.Revision)
-	go c.refresh(ctx)
-	c.tick(now)
-}
-
-// leadRound returns the round of the lead, 0 if this node does not lead.
-func (c *coordinator) leadRound() uint64 {
-	if !c.leads {
-		return 0
-	}
-	return c.round
-}
-
-func (c *coordinator) resign(why string) {
-	event.LeadLost.On(c.log).Str("why", why).Uint64("round", c.round).Send()
-	c.leads = false
-	c.stop()
-	c.polled = c.clock.Now()
-}
-
 // watch follows the product's own objects while this node leads.
 func (c *coordinator) watch(ctx context.Context, since uint64) {
 	for ctx.Err() == nil {
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -54,9 +54,7 @@
 	watchWait = 30 * time.Second
 	// watchPatience is how long a node waits for its own watch to bring a configuration that the coordinator has read. A document
 	// of 400 KB takes 300 ms on a link of 11 Mbit/s, and reading it twice delays the next one.
-	watchPatience = 500 * time.Millisecond
-	// maxFetchPause bounds the pause between reads that fail. A configuration has to be in force 2 s after a node is in touch again.
-	maxFetchPause = 400 * time.Millisecond
+	watchPatience = 400 * time.Millisecond
 	// leadWatchWait is the same for the coordinator, which notices a silent connection sooner.
 	leadWatchWait = 5 * time.Second
 	// storeRetry is the pause after a failed call. Watches and lists that fail in a row pause up to maxStoreRetry
