--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -323,11 +324,7 @@
 func (c *Core) Keep(routes map[string]bool) { keep(c.times, routes) }
 
 func keep(known map[string]float64, routes map[string]bool) {
-	for route := range known {
-		if !routes[route] {
-			delete(known, route)
-		}
-	}
+	maps.DeleteFunc(known, func(route string, _ float64) bool { return !routes[route] })
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/dispatch/link_test.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/clock"
+)
+
+// The load: answers of 100 KB on a link of 8 Mbit/s, which takes 100 ms for each.
+func TestLinkQueuesWhatIsSent(t *testing.T) {
+	const size = 100_000
+	now := clock.Instant(time.Hour)
+	l := NewLink(8)
+	for range 200 {
+		l.Sent(now, "bulk", size)
+		now = now.Add(150 * time.Millisecond)
+	}
+	require.Zero(t, l.Queue(now), "an idle link")
+	require.InDelta(t, 0.1, l.Delay(now, "bulk", 0).Seconds(), 0.01)
+	for range 3 {
+		l.Sent(now, "bulk", size)
+	}
+	require.InDelta(t, 0.3, l.Queue(now).Seconds(), 0.001)
+	require.InDelta(t, 0.3, l.Delay(now, "bulk", 100*time.Millisecond).Seconds(), 0.01, "it drains while the request runs")
+	running := l.Begin("bulk")
+	require.InDelta(t, 0.4, l.Queue(now).Seconds(), 0.01, "what runs is sent too")
+	l.End(running)
+	now = now.Add(200 * time.Millisecond)
+	require.InDelta(t, 0.1, l.Queue(now).Seconds(), 0.001)
+	l.Keep(map[string]bool{"other": true})
+	require.Less(t, l.Delay(now.Add(time.Second), "bulk", 0), 10*time.Millisecond, "the route is forgotten")
+}
+
+func TestUnknownLinkNeverBinds(t *testing.T) {
+	l := NewLink(0)
+	now := clock.Instant(time.Hour)
+	l.Sent(now, "bulk", 1<<30)
+	require.Zero(t, l.Queue(now))
+	require.Zero(t, l.Delay(now, "bulk", 0))
+}
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -109,11 +110,7 @@
 func (p *Pool) Keep(routes map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for route := range p.sizes {
-		if !routes[route] {
-			delete(p.sizes, route)
-		}
-	}
+	maps.DeleteFunc(p.sizes, func(route string, _ float64) bool { return !routes[route] })
 }
 
 // Candidate is a target that may get the request.
