Name the taken port when a development fleet can't start

Cause: a second citronvane-dev spoke to the processes of the first one and failed with a stale configuration. TestTakenPortIsNamed failed before (no error), passes now.

--- a/internal/devfleet/ports.go
+++ b/internal/devfleet/ports.go
@@ -18,9 +18,15 @@
 // portAllocator returns the address for an offset from the first port.
 type portAllocator func(offset int) (string, error)
 
+// fixedPorts returns an allocator of the ports from first on. A taken port is an error: a second fleet would speak to the
+// processes of the first one.
 func fixedPorts(first int) portAllocator {
 	return func(offset int) (string, error) {
-		return net.JoinHostPort("127.0.0.1", strconv.Itoa(first+offset)), nil
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(first+offset))
+		if !isFree(address) {
+			return "", errs.New(errs.Unavailable, "Stop the other fleet, or choose another --first-port.", "%s is taken by another process", address)
+		}
+		return address, nil
 	}
 }
 
