Refuse an Idempotency-Key that belongs to another request

Cause: records held the identity only, so that deposit=99 with the key of deposit=10 got the answer of the first one. Change: records keep a fingerprint of method, path, key and body (the one of the quarantine), also across handovers; another one is answered 422 identity_reused, and nothing runs. The body is read before the record is looked up. Streamed bodies (above 64 KiB) are compared by their length only. Records of earlier versions have no fingerprint and are not compared. TestIdentityOfAnotherRequest failed before (the first answer was returned), passes now.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -43,6 +43,7 @@
 	DeadlineRunning  Kind = "deadline_running"
 	RepeatRunning    Kind = "repeat_running"
 	RepeatUnknown    Kind = "repeat_unknown"
+	IdentityReused   Kind = "identity_reused"
 )
 
 // Properties describes a kind of answer.
@@ -77,6 +78,7 @@
 	DeadlineRunning:  {504, false, false, "The deadline passed while the request ran.", "Read the state of the key before sending the request again; keep its Idempotency-Key."},
 	RepeatRunning:    {409, false, false, "A request with this identity is still running.", "Wait, then repeat with the same Idempotency-Key to get its answer."},
 	RepeatUnknown:    {409, false, false, "A request with this identity may have run before.", "Read the state of the key. If this request was never sent before, get a token and use it as the Idempotency-Key."},
+	IdentityReused:   {422, true, false, "The identity belongs to another request.", "Send a new Idempotency-Key with each new request; repeat a request with the same method, path and body."},
 }
 
 // Of returns the properties of a kind, and whether the kind exists.
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -68,12 +68,16 @@
 	}
 	ctx, end := c.context(caller)
 	defer end()
+	reserved, refusal := c.bufferBody()
+	defer func() { c.gate.bodies.Release(reserved) }()
+	if refusal != nil {
+		return c.refuse(refusal)
+	}
+	c.fingerprint = c.poisonRequest().Fingerprint()
 	if done, err := c.identify(); done {
 		return err
 	}
-	reserved, refusal := c.prepare()
-	defer c.gate.bodies.Release(reserved)
-	if refusal != nil {
+	if refusal := c.prepare(); refusal != nil {
 		return c.refuseNotRun(ctx, refusal)
 	}
 	permit, refusal := c.gate.acquire(ctx, c)
@@ -83,17 +87,12 @@
 	return c.run(ctx, permit)
 }
 
-// prepare makes the checks that a repeat of an earlier request doesn't need, and reads a small body. It returns the
-// memory that is reserved for the body, also with a refusal.
-func (c *call) prepare() (reserved int64, refusal *answer.Refusal) {
+// prepare makes the checks that a repeat of an earlier request doesn't need.
+func (c *call) prepare() *answer.Refusal {
 	if refusal := c.gate.check(c); refusal != nil {
-		return 0, refusal
-	}
-	reserved, refusal = c.bufferBody()
-	if refusal == nil {
-		refusal = c.checkPoison()
+		return refusal
 	}
-	return reserved, refusal
+	return c.checkPoison()
 }
 
 // admit checks the slice and notes under which epoch the request is served. A repeat of an answered request and a
@@ -163,6 +162,8 @@
 		return answer.Refuse(answer.Shed, "the identity records of the node are full").After(refusalPause)
 	case identity.Malformed:
 		return answer.Refuse(answer.BadRequest, "%s", d.Detail)
+	case identity.Reused:
+		return answer.Refuse(answer.IdentityReused, "%s", d.Detail)
 	case identity.Newer:
 		return answer.Refuse(answer.NotOwner, "the token was issued by a later owner")
 	}
@@ -176,6 +177,7 @@
 		Ownership:      c.ownership(),
 		Key:            c.head.GetKey(),
 		IdempotencyKey: c.head.GetIdempotencyKey(),
+		Fingerprint:    c.fingerprint,
 	})
 }
 
@@ -186,13 +188,16 @@
 	}
 }
 
-// checkPoison refuses requests that have crashed targets.
-func (c *call) checkPoison() *answer.Refusal {
-	r := &poison.Request{
+// poisonRequest returns what identifies the request whoever sends it.
+func (c *call) poisonRequest() *poison.Request {
+	return &poison.Request{
 		Service: c.head.GetService(), Method: c.head.GetMethod(), Path: c.head.GetPath(), Key: c.head.GetKey(),
 		Body: c.data, Streamed: !c.buffered, ContentLength: c.length,
 	}
-	c.fingerprint = r.Fingerprint()
+}
+
+// checkPoison refuses requests that have crashed targets.
+func (c *call) checkPoison() *answer.Refusal {
 	g := c.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gate/once_test.go
+++ b/internal/gate/once_test.go
@@ -74,6 +74,34 @@
 	require.Equal(t, answer.Kind(""), r.do(post("opaque")).kind())
 }
 
+// Guards against another deposit that gets the answer of the first one because its caller used the same identity.
+func TestIdentityOfAnotherRequest(t *testing.T) {
+	var runs atomic.Int32
+	runner := runnerFunc(func(context.Context, *target.Request) (*target.Response, error) {
+		runs.Add(1)
+		return reply("charged")
+	})
+	deposit := func(r *rig, body string) *result {
+		out := &result{}
+		head := post("a")
+		head.ContentLength = int64(len(body))
+		require.NoError(t, r.ServeRelay(t.Context(), &relay.Request{Head: head, Body: strings.NewReader(body)}, out))
+		return out
+	}
+	r := newRig(t, runner)
+	require.Equal(t, "charged", deposit(r, "deposit=10").body.String())
+	require.Equal(t, answer.IdentityReused, deposit(r, "deposit=99").kind())
+	require.Equal(t, answer.IdentityReused, r.do(post("a")).kind())
+	require.Equal(t, "charged", deposit(r, "deposit=10").body.String(), "a true repeat gets the first answer")
+
+	next := newRig(t, runner)
+	batch := &wire.IdentityBatch{Service: rigSlice.Service, Epoch: 5, Identities: r.ExportIdentities(rigSlice)}
+	require.True(t, next.ImportIdentities(batch))
+	require.Equal(t, answer.IdentityReused, deposit(next, "deposit=99").kind())
+	require.Equal(t, "charged", deposit(next, "deposit=10").body.String())
+	require.EqualValues(t, 1, runs.Load())
+}
+
 // Guards against a half answer that is repeated as if it were whole, and one that is too large to keep.
 func TestIncompleteAnswersAreNotRepeated(t *testing.T) {
 	r := newRig(t, runnerFunc(func(_ context.Context, req *target.Request) (*target.Response, error) {
--- a/internal/identity/handover.go
+++ b/internal/identity/handover.go
@@ -29,6 +29,7 @@
 		IdempotencyKey: r.id.idempotencyKey,
 		State:          wire.Identity_UNKNOWN,
 		AgeMs:          now.Sub(r.updated).Milliseconds(),
+		Fingerprint:    r.fingerprint,
 	}
 	if r.state == answered {
 		i.State, i.Head, i.Body = wire.Identity_ANSWERED, r.head, r.body
@@ -73,7 +74,7 @@
 	id := identity{key: i.GetKey(), idempotencyKey: i.GetIdempotencyKey()}
 	r := s.find(slice, id)
 	if r == nil {
-		r = &Record{slice: slice, id: id, state: running, retention: retention}
+		r = &Record{slice: slice, id: id, fingerprint: i.GetFingerprint(), state: running, retention: retention}
 		s.insert(r)
 		s.FinishUnknown(updated, r)
 	}
--- a/internal/identity/store.go
+++ b/internal/identity/store.go
@@ -53,6 +53,8 @@
 	Full
 	// Malformed means that the idempotency key is not acceptable; it never was and never will be.
 	Malformed
+	// Reused means that another request has this identity.
+	Reused
 	// Newer means that the token was issued under an epoch that this owner doesn't know yet.
 	Newer
 )
@@ -73,6 +75,8 @@
 	Ownership
 	Key            string
 	IdempotencyKey string
+	// Fingerprint tells apart requests with the same identity.
+	Fingerprint uint64
 }
 
 // Decision is the result of Begin.
@@ -102,15 +106,17 @@
 
 // Record is the memory of one request.
 type Record struct {
-	slice     cluster.SliceID
-	id        identity
-	state     state
-	head      *wire.ResponseHead
-	body      []byte
-	updated   clock.Instant
-	retention time.Duration
-	finished  *list.Element
-	answer    *list.Element
+	slice cluster.SliceID
+	id    identity
+	// fingerprint of the request, 0 if an earlier owner of the slice did not know it.
+	fingerprint uint64
+	state       state
+	head        *wire.ResponseHead
+	body        []byte
+	updated     clock.Instant
+	retention   time.Duration
+	finished    *list.Element
+	answer      *list.Element
 }
 
 func (r *Record) answerBytes() int {
@@ -158,7 +164,7 @@
 	}
 	id := identity{key: q.Key, idempotencyKey: q.IdempotencyKey}
 	if r := s.find(q.Slice, id); r != nil {
-		return repeat(r)
+		return repeat(r, q.Fingerprint)
 	}
 	if d := s.mayHaveRun(now, wall, q, token); d.Verdict != Admitted {
 		return d
@@ -184,7 +190,10 @@
 	return &token, ""
 }
 
-func repeat(r *Record) Decision {
+func repeat(r *Record, fingerprint uint64) Decision {
+	if r.fingerprint != 0 && r.fingerprint != fingerprint {
+		return Decision{Verdict: Reused, Detail: "another method, path or body came first with this Idempotency-Key"}
+	}
 	switch r.state {
 	case running:
 		return Decision{Verdict: Running}
@@ -223,7 +232,7 @@
 }
 
 func (s *Store) admit(now clock.Instant, q Query, id identity) Decision {
-	r := &Record{slice: q.Slice, id: id, state: running, updated: now, retention: q.Retention}
+	r := &Record{slice: q.Slice, id: id, fingerprint: q.Fingerprint, state: running, updated: now, retention: q.Retention}
 	if !s.makeRoom(r.bytes()) || s.count >= s.limits.Records {
 		return Decision{Verdict: Full}
 	}
