Let callers who come back take what others leave

Cause: under overload a caller who comes back after a refusal is late in any case, and took a slot from one who would have been in time. Ruled out: longer Retry-After (as many attempts arrive), refusing returning callers (those are the only ones in a quiet moment). Change: the entrance learns how long a route's callers usually wait, and takes less time left for an earlier beginning, for requests with a key only, since calls end with their parents. The dispatcher counts the objective from there: what is late already waits for a quarter of its objective at most, behind all that can be in time, and is refused at once where that is not enough.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -37,6 +37,9 @@
 	spread = 0.25
 	// lateShare is the part of its deadline that a request which has missed its objective may wait for.
 	lateShare = 0.6
+	// lateWait is the part of its objective that a request may wait which misses its objective in any case. It goes after all that
+	// can still be in time, so that it is served where there is room, and refused at once where there is none.
+	lateWait = 0.25
 	// paceInterval is how often the pace of a slow target is asked for while requests wait for its spell to end.
 	paceInterval = 50 * time.Millisecond
 )
@@ -60,6 +63,8 @@
 	arrived clock.Instant
 	// decided is closed by the controller when refusal and Started are final.
 	decided chan struct{}
+	// late says that it missed its objective already when it arrived.
+	late    bool
 	started clock.Instant
 	// ratio is how many times longer than usual work took when it started.
 	ratio   float64
@@ -150,10 +155,11 @@
 		own *= c.pace.ratio(now)
 	}
 	finish := now.Add(seconds(wait + own))
-	if after := finish.Add(seconds(spread * own)).Sub(r.Aim); after > 0 && (wait > 0 || finish > r.Deadline) {
+	late := now.Add(seconds(own)) > r.Aim && finish <= r.Deadline && seconds(wait) <= r.lateWait()
+	if after := finish.Add(seconds(spread * own)).Sub(r.Aim); after > 0 && !late && (wait > 0 || finish > r.Deadline) {
 		return nil, &Refusal{Reason: reason, RetryAfter: comeBack(after, r.Objective), Expected: finish.Sub(now)}
 	}
-	t := &Ticket{Request: r, arrived: now, decided: make(chan struct{})}
+	t := &Ticket{Request: r, arrived: now, late: late, decided: make(chan struct{})}
 	k := class(r.Priority)
 	c.queue[k] = append(c.queue[k], t)
 	c.waiting++
@@ -198,6 +204,8 @@
 	return true
 }
 
+func (r *Request) lateWait() time.Duration { return seconds(lateWait * r.Objective.Seconds()) }
+
 // comeBack returns when a caller may come back whose answer would have been late by so much.
 func comeBack(late, objective time.Duration) time.Duration {
 	return min(max(late, seconds(minReturn*objective.Seconds())), seconds(maxReturn*objective.Seconds()))
@@ -290,14 +298,18 @@
 	return max(time.Millisecond, seconds((1-c.tokens)/c.coldRate))
 }
 
-// dropLate removes a request at the head of a class that can't be answered within lateShare of its deadline.
+// dropLate removes a request that can't be answered within lateShare of its deadline, or that was late from the start and did not
+// find room.
 func (c *Core) dropLate(now clock.Instant) *Ticket {
 	for k := range c.queue {
 		for i, t := range c.queue[k] {
 			if now.Add(seconds(c.service(&t.Request))) <= t.Aim {
-				break // Later ones of the class have later aims in all but a few cases, which wait for the next poll.
+				continue
 			}
 			limit := t.arrived.Add(time.Duration(lateShare * float64(t.Deadline.Sub(t.arrived))))
+			if t.late {
+				limit = t.arrived.Add(2 * t.lateWait()) // Others went first; twice the expected wait is over.
+			}
 			if now > limit || now.Add(seconds(c.service(&t.Request))) > t.Deadline {
 				c.remove(k, i)
 				t.refused = &Refusal{Reason: Late, RetryAfter: comeBack(0, t.Objective), Expected: now.Sub(t.arrived)}
--- /dev/null
+++ b/internal/dispatch/return_test.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/clock"
+)
+
+// playReturns plays callers who come back twice as they are told, and returns the shares that are answered within the objective,
+// counted from the first attempt, and at all. With aged the core is told when they began.
+func playReturns(load float64, aged bool) (inTime, answered float64) {
+	const work, length = 160.0, 40_000.0
+	random := rand.New(rand.NewPCG(7, 8))
+	type caller struct {
+		began float64
+		tries int
+	}
+	c := NewCore(18)
+	var running ends
+	callers := map[*Ticket]*caller{}
+	back := map[int][]*caller{} // by millisecond
+	total, good, late := 0, 0, 0
+	refused := func(ms float64, who *caller, r *Refusal) {
+		if who.tries++; who.tries < 3 {
+			when := int(ms + r.RetryAfter.Seconds()*1000*(1+0.25*random.Float64()))
+			back[when] = append(back[when], who)
+		}
+	}
+	arrive := func(ms float64, who *caller) {
+		r := request("r", 2, at(ms), 500*time.Millisecond, 3*time.Second)
+		if aged {
+			r.Aim = at(who.began).Add(500 * time.Millisecond)
+		}
+		t, refusal := c.Arrive(at(ms), r)
+		if refusal != nil {
+			refused(ms, who, refusal)
+			return
+		}
+		callers[t] = who
+	}
+	next := 0.0
+	for ms := 0.0; ms < length; ms++ {
+		for len(running) > 0 && running[0].at <= ms {
+			e := heap.Pop(&running).(end)
+			c.Done(at(e.at), e.ticket, true)
+			if e.at-callers[e.ticket].began <= 500 {
+				good++
+			} else {
+				late++
+			}
+		}
+		for _, who := range back[int(ms)] {
+			arrive(ms, who)
+		}
+		for ; next <= ms; next += random.ExpFloat64() * work / (load * 18) {
+			total++
+			arrive(ms, &caller{began: ms})
+		}
+		for _, t := range c.Poll(at(ms)) {
+			if t.refused != nil {
+				refused(ms, callers[t], t.refused)
+				continue
+			}
+			heap.Push(&running, end{ms + work*(0.7+0.6*random.Float64()), t})
+		}
+	}
+	return float64(good) / float64(total), float64(good+late) / float64(total)
+}
+
+// The load: one and a half times, and twice, what 18 slots bear, from callers who come back when they are told. Guards against answers
+// to callers who come back, which are late, in place of answers that would be in time.
+func TestReturningCallersDoNotMakeOthersLate(t *testing.T) {
+	for _, load := range []float64{0.9, 1.5, 2} {
+		inTime, answered := playReturns(load, true)
+		blind, blindAnswered := playReturns(load, false)
+		t.Logf("load %.1f: in time %.3f, answered %.3f; without ages %.3f, %.3f", load, inTime, answered, blind, blindAnswered)
+		require.Greater(t, inTime, 0.85*min(1, 1/load), "nearly all of the capacity answers in time")
+		require.Greater(t, answered, 0.95*blindAnswered)
+	}
+}
+
+// Guards against callers who are refused although there is room, and against ones who are kept waiting although there is none.
+func TestLateRequestsTakeWhatIsLeft(t *testing.T) {
+	c := NewCore(1)
+	old := func(now clock.Instant) Request {
+		r := request("r", 2, now, 500*time.Millisecond, 3*time.Second)
+		r.Aim = now.Add(-time.Second)
+		return r
+	}
+	first, refused := c.Arrive(at(0), old(at(0)))
+	require.Nil(t, refused, "an idle target")
+	require.Equal(t, []*Ticket{first}, c.Poll(at(0)))
+	c.Done(at(100), first, true)
+	fresh, refused := c.Arrive(at(100), request("r", 2, at(100), 500*time.Millisecond, 3*time.Second))
+	require.Nil(t, refused)
+	require.Equal(t, []*Ticket{fresh}, c.Poll(at(100)))
+	waits, refused := c.Arrive(at(101), old(at(101)))
+	require.Nil(t, refused, "it waits for 100 ms")
+	next, refused := c.Arrive(at(102), request("r", 2, at(102), 500*time.Millisecond, 3*time.Second))
+	require.Nil(t, refused)
+	_, refused = c.Arrive(at(103), old(at(103)))
+	require.NotNil(t, refused)
+	c.Done(at(200), fresh, true)
+	require.Equal(t, []*Ticket{next}, c.Poll(at(200)), "what can be in time goes first")
+	require.Empty(t, c.Poll(at(340)))
+	require.Equal(t, []*Ticket{waits}, c.Poll(at(360)))
+	require.NotNil(t, waits.Refusal())
+}
--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -41,17 +42,35 @@
 	pool    *ingress.Pool
 	mu      sync.Mutex
 	budgets map[string]*ingress.Budget
-	idle    *idleConns
+	// patience is by route.
+	patience map[string]*ingress.Patience
+	idle     *idleConns
 }
 
 func newEntrance(n *node) *entrance {
-	return &entrance{node: n, pool: ingress.NewPool(n.settings.AvailabilityZone), budgets: map[string]*ingress.Budget{}, idle: newIdleConns()}
+	return &entrance{node: n, pool: ingress.NewPool(n.settings.AvailabilityZone), budgets: map[string]*ingress.Budget{}, patience: map[string]*ingress.Patience{}, idle: newIdleConns()}
 }
 
 // configured takes a new configuration.
 func (e *entrance) configured(c *ingress.Config) {
 	e.idle.limit(c.Limits.IdleTimeout)
-	e.pool.Keep(c.Names())
+	names := c.Names()
+	e.pool.Keep(names)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.patience, func(route string, _ *ingress.Patience) bool { return !names[route] })
+}
+
+// patienceOf returns what is known of the callers of a route.
+func (e *entrance) patienceOf(route string) *ingress.Patience {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.patience[route]
+	if p == nil {
+		p = &ingress.Patience{}
+		e.patience[route] = p
+	}
+	return p
 }
 
 // budget returns the retry budget for a service.
@@ -69,17 +88,19 @@
 
 // exchange is one request of a caller.
 type exchange struct {
-	route    *ingress.Route
-	service  string
-	id       string
-	key      int
-	method   string
-	path     string
-	header   http.Header
-	length   int64
-	body     []byte
-	stream   io.Reader // set instead of body if it is too large to be kept
-	arrived  clock.Instant
+	route   *ingress.Route
+	service string
+	id      string
+	key     int
+	method  string
+	path    string
+	header  http.Header
+	length  int64
+	body    []byte
+	stream  io.Reader // set instead of body if it is too large to be kept
+	arrived clock.Instant
+	// age is how long before that the caller began, as far as it is known to have come back after a refusal.
+	age      time.Duration
 	deadline clock.Instant
 	// sent counts the targets that may have got the request.
 	sent  int
@@ -165,6 +186,9 @@
 	}
 	x.deadline = now.Add(max(left-answerMargin, minLeft))
 	x.service = x.route.Pick(x.id)
+	if x.key >= 0 {
+		x.age = e.patienceOf(x.route.Name).Age(said.Left) // Calls of targets carry no key; they end with their parents.
+	}
 	if !config.Services[x.service].Keyed {
 		x.key = -1
 	} else if x.key < 0 {
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -268,7 +268,7 @@
 		Service: x.service, Method: x.method, Path: x.path, Headers: relay.FromHTTP(x.header),
 		TimeoutMs:     max(1, x.deadline.Sub(now).Milliseconds()),
 		ContentLength: x.length, Entrance: e.settings.Node, Route: x.route.Name, Rank: int32(x.route.Priority),
-		ObjectiveMs: x.route.Objective.Milliseconds(), ElapsedMs: now.Sub(x.arrived).Milliseconds(),
+		ObjectiveMs: x.route.Objective.Milliseconds(), ElapsedMs: (now.Sub(x.arrived) + x.age).Milliseconds(),
 		Repeatable: x.route.Kind.Repeatable(), CallerService: e.settings.Service, RequestId: x.id,
 	}
 	if x.key >= 0 {
