Give large configurations time on small links before reading them again

Version 37 was in force 2.8 s after its acknowledgement. Ruled out: a deaf watch (it brought 17 to 35), the coordinator's word (the reads followed its polls). Change: the patience for the own watch grows by twice the time of the last document on the link, to 1 s at most. Test: TestLargeConfigurationsGetTimeOnSmallLinks.

--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -105,7 +105,7 @@
 func (c *coordinator) fetchBehind(version uint64) {
 	c.fetching = true
 	c.background(func(ctx context.Context) func(clock.Instant) {
-		sleep(ctx, watchPatience)
+		sleep(ctx, patienceFor(c.state.configBytes.Load(), c.settings.LinkMbps))
 		if c.state.configAt.Load() < version {
 			c.fetchConfig(ctx)
 		}
@@ -115,6 +115,15 @@
 	})
 }
 
+// patienceFor returns how long to wait for the own watch to bring a document of about so many bytes.
+func patienceFor(bytes int64, linkMbps float64) time.Duration {
+	if linkMbps <= 0 {
+		return watchPatience
+	}
+	onLink := time.Duration(float64(8*bytes) / (linkMbps * 1e6) * float64(time.Second))
+	return min(watchPatience+2*onLink, maxWatchPatience)
+}
+
 // receive merges the newer parts of the coordinator's view.
 func (c *coordinator) receive(now clock.Instant, newer *fleet.View) {
 	own := c.state.view.Load()
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -52,9 +52,11 @@
 	gatherTime = 4 * time.Second
 	// watchWait is how long a watch of the operator's objects waits, the platform's longest.
 	watchWait = 30 * time.Second
-	// watchPatience is how long a node waits for its own watch to bring a configuration that the coordinator has read. A document
-	// of 400 KB takes 300 ms on a link of 11 Mbit/s, and reading it twice delays the next one.
+	// watchPatience is how long a node waits for its own watch to bring a configuration that the coordinator has read, beside twice
+	// the time that the last document takes on its link: reading one twice delays the next.
 	watchPatience = 400 * time.Millisecond
+	// maxWatchPatience bounds both. Configurations have to be in force 2 s after the store has acknowledged them.
+	maxWatchPatience = time.Second
 	// leadWatchWait is the same for the coordinator, which notices a silent connection sooner.
 	leadWatchWait = 5 * time.Second
 	// storeRetry is the pause after a failed call. Watches and lists that fail in a row pause up to maxStoreRetry
@@ -101,6 +103,8 @@
 	// configAt is the store's version of the configuration in force, evacuatedAt the revision of the evacuated zones.
 	configAt    atomic.Uint64
 	evacuatedAt atomic.Uint64
+	// configBytes is the size of the document in force.
+	configBytes atomic.Int64
 	own         atomic.Pointer[own]
 	draining    atomic.Bool
 	// stopEnd is the instant at which a stopping node ends, 0 before.
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -96,6 +96,7 @@
 		return // Never back to an older version.
 	}
 	n.state.config.Store(next)
+	n.state.configBytes.Store(int64(len(o.Value)))
 	n.state.configAt.Store(o.Version)
 	event.ConfigInForce.On(n.log).Uint64("version", next.Version).Uint64("revision", o.Version).Send()
 	n.entrance.configured(next)
