--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -16,9 +16,9 @@
 	// remotePenalty is added to the expected wait of a target in another zone: it costs a round trip between zones.
 	remotePenalty = 5 * time.Millisecond
 	// remotePerKiB is added for each KiB of the answer, since operators pay for bytes between zones.
-	remotePerKiB = 6 * time.Millisecond
+	remotePerKiB = 10 * time.Millisecond
 	// remoteShare bounds both by the latency objective, so that callers don't wait for bytes that are saved.
-	remoteShare = 0.7
+	remoteShare = 1
 	// firstEject and maxEject bound how long a target that could not be reached is left out.
 	firstEject = 300 * time.Millisecond
 	maxEject   = 3 * time.Second
--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -252,7 +252,6 @@
 
 // deliver passes the target's answer on.
 func (e *entrance) deliver(w http.ResponseWriter, x *exchange, res *result, took time.Duration) {
-	e.gate.lane.Sent(len(res.body) + headOverhead) // Callers' answers share the host's link.
 	header := w.Header()
 	for name, values := range res.header {
 		header[name] = values
