Refuse requests without time at once, and let late ones wait for their key

(2) A caller who comes back while its key is on the move was refused at once since the age of requests counts, because the wait for the grant was a share of an objective that was over. Change: less than a tenth of the objective left is refused as not run; a late request waits for its grant for half as long as a fresh one.

--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -32,6 +32,8 @@
 	startingRetryAfter = 300 * time.Millisecond
 	// answerMargin is how long before the caller's deadline an answer has to leave.
 	answerMargin = 10 * time.Millisecond
+	// minOffer is the part of its objective that a request needs to have left: with less it would be cut off at the target.
+	minOffer = 0.1
 )
 
 var errDeadline = errors.New("the deadline has passed")
@@ -184,6 +186,9 @@
 	if said.Left > 0 {
 		left = min(left, said.Left)
 	}
+	if left < time.Duration(minOffer*float64(x.route.Objective)) {
+		return x, &refusal{answer.Deadline, startingRetryAfter, "no_time_left"}
+	}
 	x.deadline = now.Add(max(left-answerMargin, minLeft))
 	x.service = x.route.Pick(x.id)
 	if x.key >= 0 {
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -351,6 +351,12 @@
 
 func (g *gate) targetGone(o *own) bool { return o.why == "the target has ended" }
 
+// parkLimit returns until when the request may wait for its key to be granted. One that is late already may wait for half as long as
+// a fresh one: it keeps nobody else waiting.
+func (j *job) parkLimit() clock.Instant {
+	return j.arrived.Add(time.Duration(parkShare * float64(max(j.aim.Sub(j.arrived), j.objective()/2))))
+}
+
 // park waits for the key to be granted, if that is expected in time.
 func (g *gate) park(ctx context.Context, j *job, now clock.Instant, o *own) *refusal {
 	row, ok := g.state.view.Load().Tables[j.head.Service].Find(j.key)
@@ -358,7 +364,7 @@
 		return &refusal{answer.NotOwner, 0, "not_owner"}
 	}
 	wait := max(o.nextBeat.Sub(now), 0) + grantSlack
-	limit := j.arrived.Add(time.Duration(parkShare * float64(j.aim.Sub(j.arrived))))
+	limit := j.parkLimit()
 	if now.Add(wait) > limit {
 		return &refusal{answer.Moving, wait, "not_granted_yet"}
 	}
--- a/internal/sidecar/pace_test.go
+++ b/internal/sidecar/pace_test.go
@@ -35,6 +35,13 @@
 	return n, target
 }
 
+// callerHeader returns the headers of request "1" as the entrance sends them on.
+func callerHeader() http.Header {
+	header := standin.CallerHeader("1", 1000)
+	header.Set("Host", "x")
+	return header
+}
+
 func (n *node) statePace(paces ...float64) {
 	for _, pace := range paces {
 		n.gate.dispatch.Update(func(now clock.Instant, core *dispatch.Core) { core.State(now, pace) })
@@ -68,7 +75,7 @@
 	require.NotZero(t, delayed())
 	require.Eventually(t, func() bool { return delayed() == 0 }, time.Second, 5*time.Millisecond)
 	require.NotZero(t, target.Asked.Load())
-	a, refused, err := n.gate.serve(t.Context(), &wire.RequestHead{Service: "s", Method: "GET", Path: "/x", ObjectiveMs: 500, TimeoutMs: 1000, RequestId: "1", Headers: relay.FromHTTP(http.Header{"Host": {"x"}, "Request-Id": {"1"}})}, nil)
+	a, refused, err := n.gate.serve(t.Context(), &wire.RequestHead{Service: "s", Method: "GET", Path: "/x", ObjectiveMs: 500, TimeoutMs: 1000, RequestId: "1", Headers: relay.FromHTTP(callerHeader())}, nil)
 	require.NoError(t, err)
 	require.Nil(t, refused)
 	require.Equal(t, http.StatusOK, a.Status)
@@ -91,7 +98,7 @@
 	for range 10 { // The first choice is random.
 		x := exchangeOf(n.entrance)
 		x.service, x.id, x.method, x.path, x.deadline = "s", "1", "GET", "/x", x.arrived.Add(5*time.Second)
-		x.header = http.Header{"Host": {"x"}, "Request-Id": {"1"}}
+		x.header = callerHeader()
 		res := n.entrance.perform(ctx, x)
 		require.Nil(t, res.refusal)
 		require.NoError(t, res.err)
