--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -149,8 +149,8 @@
 func (c *Core) Arrive(now clock.Instant, r Request) (*Ticket, *Refusal) {
 	own := c.service(&r)
 	wait, reason := c.expectedWait(now, &r, own)
-	if rest := c.rest(now, &r); rest > 0 {
-		wait = max(wait, rest)
+	if hold := c.holdFor(now, &r); hold > 0 {
+		wait = max(wait, hold)
 	} else if wait == 0 {
 		own *= c.pace.ratio(now)
 	}
@@ -180,8 +180,8 @@
 	return seconds(wait)
 }
 
-// rest returns for how many seconds the request had better wait for the end of a slow spell, 0 if it is answered sooner without.
-func (c *Core) rest(now clock.Instant, r *Request) float64 {
+// holdFor returns for how many seconds the request had better wait for the end of a slow spell, 0 if it is answered sooner without.
+func (c *Core) holdFor(now clock.Instant, r *Request) float64 {
 	rest := c.pace.rest(now).Seconds()
 	if rest > 0 && (c.pace.ratio(now)-1)*c.service(r) > rest {
 		return rest
@@ -326,7 +326,7 @@
 	for _, inTime := range []bool{true, false} {
 		for k := range c.queue {
 			for i, t := range c.queue[k] {
-				if c.rest(now, &t.Request) > 0 {
+				if c.holdFor(now, &t.Request) > 0 {
 					continue
 				}
 				if !inTime || now.Add(seconds(c.service(&t.Request))) <= t.Aim {
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -39,14 +39,6 @@
 	quarantineTime = 60 * time.Second
 	// minLeft is the time below which a request is not worth starting.
 	minLeft = 5 * time.Millisecond
-	// paceTimeout bounds the wait for the target's health path, which answers at once.
-	paceTimeout = 200 * time.Millisecond
-	// moveShare is the part of the objective that a move has to save beyond its cost: the other target may be no better.
-	moveShare = 0.1
-	// headOverhead is about what the head of an answer takes on the link beside its body, bytes.
-	headOverhead = 400
-	// reasonSlow says that the target is slow or busy at this moment and another one may run the request.
-	reasonSlow = "slow_now"
 )
 
 // refusal is an answer of citronvane to a request that has not run.
@@ -100,32 +92,6 @@
 	return g
 }
 
-// askPace asks the target in the background how long work takes at this moment.
-func (g *gate) askPace() {
-	config := g.state.config.Load()
-	if config == nil || config.Services[g.settings.Service].HealthPath == "" {
-		return
-	}
-	request := &upstream.Request{
-		Method: http.MethodGet, Path: config.Services[g.settings.Service].HealthPath, Header: http.Header{}, Host: g.settings.Target,
-		Belongs: platform.IsHealth,
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(g.ctx, paceTimeout)
-		defer cancel()
-		a, err := g.upstream.Do(ctx, request)
-		g.metrics.pace(err)
-		if err != nil {
-			g.log.Debug().Err(err).Msg("the target does not state its pace; what waits for it starts when the last statement is old")
-			return
-		}
-		closeRest(a)
-		g.dispatch.Update(func(now clock.Instant, core *dispatch.Core) {
-			core.State(now, platform.ReadAnswer(a.Status, a.Header).Pace)
-		})
-	}()
-}
-
 // configured takes a new configuration.
 func (g *gate) configured(c *ingress.Config) {
 	names := c.Names()
@@ -168,34 +134,6 @@
 	return g.write(r.Head.Route, a, &lanedWriter{w, g.lane, func(n int) error { return g.lane.Wait(ctx, n, aim) }})
 }
 
-// lanedWriter writes an answer in pieces that wait for the host's link if it is large.
-type lanedWriter struct {
-	relay.ResponseWriter
-	lane *dispatch.Lane
-	wait func(bytes int) error
-}
-
-// Write implements io.Writer.
-func (w *lanedWriter) Write(data []byte) (written int, err error) {
-	if len(data) < dispatch.LargeAnswer {
-		w.lane.Sent(len(data) + headOverhead)
-		return w.ResponseWriter.Write(data)
-	}
-	for len(data) > 0 {
-		part := data[:min(len(data), dispatch.PieceSize)]
-		if err := w.wait(len(part)); err != nil {
-			return written, err
-		}
-		n, err := w.ResponseWriter.Write(part)
-		written += n
-		if err != nil {
-			return written, err
-		}
-		data = data[len(part):]
-	}
-	return written, nil
-}
-
 // write sends the target's answer.
 func (g *gate) write(route string, a *upstream.Answer, w relay.ResponseWriter) error {
 	g.link.Sent(g.clock.Now(), route, max(a.Length, int64(len(a.Body))))
@@ -319,7 +257,7 @@
 			return &refusal{answer.Draining, 0, "node_stops"}
 		case g.evacuated(now):
 			return &refusal{answer.ZoneOut, 0, "zone_out"}
-		case j.head.MoveCostUs > 0 && g.better(j):
+		case j.head.MoveCostUs > 0 && g.passesOn(j):
 			return &refusal{answer.Shed, 0, reasonSlow}
 		case j.key < 0 || o.grants(now, j.key):
 			return nil
@@ -330,15 +268,6 @@
 	}
 }
 
-// better reports whether another target is expected to answer sooner, although this one could answer in time.
-func (g *gate) better(j *job) bool {
-	request := dispatch.Request{Route: j.head.Route, Priority: int(j.head.Rank), Objective: j.objective(), Aim: j.aim, Deadline: j.deadline}
-	cost := time.Duration(j.head.MoveCostUs)*time.Microsecond + seconds(moveShare*j.objective().Seconds())
-	return g.dispatch.Delayed(request) > cost
-}
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 func reasonOf(o *own) string {
 	switch o.why {
 	case "the target has ended":
