--- a/internal/keyspace/delta_test.go
+++ b/internal/keyspace/delta_test.go
@@ -12,13 +12,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		change := func(table *Table) {
 			for range rapid.IntRange(1, 8).Draw(t, "steps") {
-				from := rapid.IntRange(0, MaxKey).Draw(t, "from")
-				r := Range{from, rapid.IntRange(from, MaxKey).Draw(t, "to")}
-				table.Cut(r)
-				if rapid.Bool().Draw(t, "assign") {
-					table.Assign(r, Owner{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host"), 1}, "")
-				}
-				table.Join()
+				changeRange(t, table)
 			}
 		}
 		old := &Table{}
--- a/internal/keyspace/keyspace_test.go
+++ b/internal/keyspace/keyspace_test.go
@@ -40,19 +40,25 @@
 	}
 }
 
+// changeRange cuts a random range out of the table, gives it to an owner or not, and returns it.
+func changeRange(t *rapid.T, table *Table) Range {
+	from := rapid.IntRange(0, MaxKey).Draw(t, "from")
+	r := Range{from, rapid.IntRange(from, MaxKey).Draw(t, "to")}
+	table.Cut(r)
+	if rapid.Bool().Draw(t, "assign") {
+		table.Assign(r, Owner{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host"), 1}, "")
+	}
+	table.Join()
+	return r
+}
+
 // Each key keeps at most one owner, and a key that gets another owner gets a higher fencing token.
 func TestTableInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := &Table{}
 		fences := map[int]uint64{}
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
-			from := rapid.IntRange(0, MaxKey).Draw(t, "from")
-			r := Range{from, rapid.IntRange(from, MaxKey).Draw(t, "to")}
-			table.Cut(r)
-			if rapid.Bool().Draw(t, "assign") {
-				table.Assign(r, Owner{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host"), 1}, "")
-			}
-			table.Join()
+			r := changeRange(t, table)
 			if err := table.Validate(); err != nil {
 				t.Fatal(err)
 			}
