Let a lease last as long as the leadership lease that stands behind it

Cause: a poll confirms a term from the node's last report on, received up to a poll interval (1 s) before, but named the rest of the leadership lease at the poll. The lease so ended up to 1 s before the leadership lease; in an outage of the store of 8 s, owners stopped early and keys were answered 503. Ruled out: the hold of the target (its clock allowance is 2%, 80 ms). Change: the poll names the rest that was left when the report came. The report was sent before, so the lease still ends no later than the leadership lease (guard NO_AUTHORITY of spec/tenure.pml, unchanged).

--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -345,7 +345,9 @@
 		p.View = c.history.Since(v, n.viewStamp)
 	}
 	if n.Report != nil && (t.State == fleet.Serving || t.State == fleet.Leaving) && !c.revokeAttempted[t.Owner()] {
-		p.Term, p.ProcessID, p.LastReportSentAt, p.CoordinatorLeaseMs = t.Term, n.Report.ProcessID, n.Report.SentAt, c.leadershipRemaining(now).Milliseconds()
+		p.Term, p.ProcessID, p.LastReportSentAt = t.Term, n.Report.ProcessID, n.Report.SentAt
+		// The node counts the lease from when it sent the report, which was before LastSeen.
+		p.CoordinatorLeaseMs = c.leadershipRemaining(n.LastSeen).Milliseconds()
 	}
 	return p
 }
