Bound what is read from a target, and bind each answer to its request

Cause: an answer to another request was read whole into a buffer of its stated length before it was known whether it is kept (40 GB ends the process, 9e18 panics); heads had no bound; an interim answer (1xx) counted as the final one; an answer without an identity, or a late copy of a refusal of the same request sent again on one connection, was taken for the answer. Ruled out: trailers and chunk extensions, which net/http bounds itself. A request is not sent twice in a row on one connection. An answer without an identity belongs only to the first request of a connection.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,7 +12,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -30,6 +30,16 @@
 	readBuffer  = 8 << 10
 )
 
+// Limits of what is read from a target. Beyond them the connection is closed.
+const (
+	// maxHeadBytes bounds the status line and headers of an answer, with what the read buffer holds of the body.
+	maxHeadBytes = 64 << 10
+	// maxStrayBytes bounds the body of an answer to another request, which is read only to keep the connection.
+	maxStrayBytes = 64 << 10
+	// maxInterim is the number of 1xx answers that may precede the final one.
+	maxInterim = 8
+)
+
 // Errors of Do.
 var (
 	// ErrNotSent means that the target certainly did not get the request.
@@ -54,8 +64,12 @@
 	Length int64
 	// Once says that the request can't be repeated, so that only a connection that was just in use is used again.
 	Once bool
-	// Belongs reports whether an answer's headers belong to the request.
-	Belongs func(http.Header) bool
+	// ID identifies the request. It is not sent twice in a row on one connection: a late second copy of the first answer could not be
+	// told from the second one.
+	ID string
+	// Belongs reports whether an answer's headers belong to the request. used says that the connection has carried another request
+	// before, whose answer may have come twice.
+	Belongs func(h http.Header, used bool) bool
 }
 
 // Answer is the target's answer. Body is set if it was read whole; otherwise Rest has to be read and closed.
@@ -78,7 +92,33 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	budget *readBudget
 	since  time.Time
+	// lastID is the request that was sent last on the connection. It is empty on a new one.
+	lastID string
+	used   bool
+}
+
+// errHeadSize means that the head of an answer exceeds maxHeadBytes.
+var errHeadSize = fmt.Errorf("the head of an answer exceeds %d bytes", maxHeadBytes)
+
+// readBudget limits the bytes that are read from a connection while left is not negative.
+type readBudget struct {
+	io.Reader
+	left int
+}
+
+// Read reads within the budget.
+func (b *readBudget) Read(p []byte) (int, error) {
+	if b.left < 0 {
+		return b.Reader.Read(p)
+	}
+	if b.left == 0 {
+		return 0, errHeadSize
+	}
+	n, err := b.Reader.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
 }
 
 // NewClient returns a client for the target's address.
@@ -109,14 +149,14 @@
 	return true, err
 }
 
-func (c *Client) get(ctx context.Context, once bool) (*conn, error) {
+func (c *Client) get(ctx context.Context, r *Request) (*conn, error) {
 	limit := maxIdle
-	if once {
+	if r.Once {
 		limit = maxIdleOnce
 	}
 	now := time.Now()
 	c.mu.Lock()
-	if last := len(c.idle) - 1; last >= 0 && now.Sub(c.idle[last].since) <= limit {
+	if last := len(c.idle) - 1; last >= 0 && now.Sub(c.idle[last].since) <= limit && (r.ID == "" || c.idle[last].lastID != r.ID) {
 		k := c.idle[last]
 		c.idle = c.idle[:last]
 		c.mu.Unlock()
@@ -143,7 +183,12 @@
 		}
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), since: time.Now()}, nil
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *conn {
+	budget := &readBudget{raw, -1}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(budget, readBuffer), budget: budget, since: time.Now()}
 }
 
 func (c *Client) put(k *conn) {
@@ -156,7 +201,7 @@
 // Do sends the request and returns the answer that belongs to it. When the context ends, the connection is closed,
 // so that the target drops the request.
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, error) {
-	k, err := c.get(ctx, r.Once)
+	k, err := c.get(ctx, r)
 	if err != nil {
 		return nil, err
 	}
@@ -175,6 +220,7 @@
 		return a, nil
 	}
 	if stop() && reuse {
+		k.used, k.lastID = true, r.ID
 		c.put(k)
 	} else {
 		_ = k.Close() // The answer is whole.
@@ -226,32 +272,59 @@
 	return nil, false, fmt.Errorf("%w: answers belong to other requests", ErrBroken)
 }
 
-// read reads one answer.
+// read reads one final answer.
 func (k *conn) read(r *Request) (a *Answer, keep, belongs bool, err error) {
-	response, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
+	response, err := k.readHead(r.Method)
 	if err != nil {
 		return nil, false, false, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	keep = !response.Close
+	if !r.Belongs(response.Header, k.used) {
+		return nil, keep && skip(response), false, nil
+	}
 	a = &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
-	belongs = r.Belongs(response.Header)
-	if belongs && response.ContentLength > MaxBuffered {
+	if response.ContentLength > MaxBuffered {
 		a.Rest = response.Body
 		return a, false, true, nil
 	}
 	body, err := readAll(response.Body, response.ContentLength)
 	if errors.Is(err, errLarge) {
-		if !belongs {
-			return nil, false, false, fmt.Errorf("%w: a large answer belongs to another request", ErrBroken)
-		}
-		a.Rest, a.Length = io.NopCloser(io.MultiReader(strings.NewReader(string(body)), response.Body)), -1
+		a.Rest, a.Length = io.NopCloser(io.MultiReader(bytes.NewReader(body), response.Body)), -1
 		return a, false, true, nil
 	}
 	if err != nil {
-		return nil, false, belongs, fmt.Errorf("%w: %w", ErrBroken, err)
+		return nil, false, true, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	a.Body, a.Length = body, int64(len(body))
-	return a, keep, belongs, nil
+	return a, keep, true, nil
+}
+
+// readHead reads the head of the next final answer.
+func (k *conn) readHead(method string) (*http.Response, error) {
+	for range maxInterim {
+		k.budget.left = maxHeadBytes
+		response, err := http.ReadResponse(k.reader, &http.Request{Method: method})
+		k.budget.left = -1
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("the target switches protocols unasked")
+		}
+	}
+	return nil, fmt.Errorf("more than %d interim answers", maxInterim)
+}
+
+// skip reads the body of an answer to another request and reports whether the next answer can be found behind it.
+func skip(response *http.Response) bool {
+	if response.ContentLength > maxStrayBytes {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes+1))
+	return err == nil && n <= maxStrayBytes
 }
 
 var errLarge = errors.New("the answer is large")
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -49,7 +49,7 @@
 func get(id string, once bool) *Request {
 	return &Request{
 		Method: http.MethodGet, Path: "/x", Host: "h", Header: http.Header{"Id": {id}}, Once: once,
-		Belongs: func(h http.Header) bool { return h.Get("Id") == id },
+		Belongs: func(h http.Header, _ bool) bool { return h.Get("Id") == id },
 	}
 }
 
