Let an odd entry of the store cost itself only, and contain panics

A node that started again used a target that had deregistered, since its heartbeats say ready. A panic in the control loop, in a call or in a background task ended the process; net/http swallowed those of handlers without a log line. Records and tables have bounds for numbers and addresses. A new process of a node takes a deregistration over from the record. An odd record of the own host is followed by a term above its version. Two races go too: releaseLeadership read the round off the control goroutine, deleteLostRecords cleared another round's pending writes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"net/netip"
 	"strings"
 
 	"github.com/citronvane/citronvane/internal/errs"
@@ -21,6 +22,15 @@
 	keysPrefix      = "keys."
 )
 
+// Limits of numbers in records that are read from the store.
+const (
+	// MaxNumber is the highest term, epoch or fencing token of a valid record. Higher ones, which only another program writes, could not be
+	// increased any more.
+	MaxNumber = 1 << 53
+	// maxSlots is the highest number of slots of a valid record.
+	maxSlots = 1 << 20
+)
+
 // State says whether a target accepts requests.
 type State string
 
@@ -37,6 +47,9 @@
 	Revoked State = "revoked"
 )
 
+// known reports whether the state is one of the named ones.
+func (s State) known() bool { return s == Serving || s == Leaving || s == Down || s == Revoked }
+
 // Target is the record of the target on one host. The node on that host writes it, except that the coordinator writes
 // a revocation.
 type Target struct {
@@ -209,9 +222,12 @@
 	if err := json.Unmarshal(o.Value, t); err != nil {
 		return nil, errs.Wrap(err, errs.Invalid, "Check which program wrote the record.", "fleet: target record %q can't be decoded", o.Name)
 	}
-	if TargetName(t.Host) != o.Name || t.Relay == "" || t.Service == "" || t.Term == 0 {
+	if TargetName(t.Host) != o.Name || t.Service == "" || t.Term == 0 || !t.State.known() {
 		return nil, errs.New(errs.Invalid, "Check which program wrote the record.", "fleet: target record %q is incomplete or its host does not match its name", o.Name)
 	}
+	if relay, err := netip.ParseAddrPort(t.Relay); err != nil || relay.Port() == 0 || t.Term > MaxNumber || t.Slots < 0 || t.Slots > maxSlots {
+		return nil, errs.New(errs.Invalid, "Check which program wrote the record.", "fleet: target record %q has a relay address that is none, or a term or number of slots out of range", o.Name)
+	}
 	t.Version = o.Version
 	return t, nil
 }
@@ -241,5 +257,18 @@
 	Resigned bool `json:"resigned,omitempty"`
 }
 
+// DecodeCoordinatorRecord decodes and validates the coordinator record.
+func DecodeCoordinatorRecord(value []byte) (CoordinatorRecord, error) {
+	var r CoordinatorRecord
+	err := json.Unmarshal(value, &r)
+	if err == nil && (r.Host == "" || r.Epoch > MaxNumber) {
+		err = errs.New(errs.Invalid, "Check which program wrote the record.", "the host is missing or epoch %d is out of range", r.Epoch)
+	}
+	if err != nil {
+		return CoordinatorRecord{}, errs.Wrap(err, errs.Invalid, "Check which program wrote the record.", "fleet: the coordinator record can't be decoded")
+	}
+	return r, nil
+}
+
 // Encode returns the JSON encoding of the record.
 func (r CoordinatorRecord) Encode() []byte { return mustEncode(r) }
--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -80,9 +80,16 @@
 	return data
 }
 
+// MaxFence is the highest fencing token of a valid table. A higher one, which only another program writes, could not be increased
+// any more.
+const MaxFence = 1 << 53
+
 // Validate checks that ranges are valid, sorted and disjoint, that each row has an owner, and that no
 // fencing token is above the highest one issued.
 func (t *Table) Validate() error {
+	if t.Fence > MaxFence {
+		return errs.New(errs.Invalid, "Check which program wrote the assignment table.", "assignment table: fencing token %d is out of range", t.Fence)
+	}
 	last := -1
 	for _, r := range t.Rows {
 		if !r.Valid() || r.From <= last || r.Fence > t.Fence || r.Owner.IsZero() {
--- a/internal/sidecar/assign.go
+++ b/internal/sidecar/assign.go
@@ -171,11 +171,13 @@
 			continue
 		}
 		c.pendingWrites[name] = true
-		version := t.Version
+		version, round := t.Version, c.round
 		c.runAsync(func(ctx context.Context) func(clock.Instant) {
 			err := c.store.Delete(ctx, fleet.Kind, name, version)
 			return func(clock.Instant) {
-				delete(c.pendingWrites, name)
+				if c.round == round {
+					delete(c.pendingWrites, name)
+				}
 				if err == nil {
 					event.RecordDeleted.On(c.log).Str("host", host).Send()
 				}
--- a/internal/sidecar/lead.go
+++ b/internal/sidecar/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"time"
@@ -31,8 +30,7 @@
 	if err != nil {
 		return // The leadership lease expires unless a later check succeeds.
 	}
-	var lead fleet.CoordinatorRecord
-	err = json.Unmarshal(o.Value, &lead)
+	lead, err := fleet.DecodeCoordinatorRecord(o.Value)
 	c.post(func(clock.Instant) {
 		switch {
 		case ctx.Err() != nil || !c.isLeader:
@@ -113,7 +111,7 @@
 	var previous fleet.CoordinatorRecord
 	o, err := c.store.Get(ctx, fleet.CoordinatorKind, fleet.CoordinatorName)
 	if err == nil {
-		if err := json.Unmarshal(o.Value, &previous); err != nil {
+		if previous, err = fleet.DecodeCoordinatorRecord(o.Value); err != nil {
 			event.ObjectInvalid.On(c.log).Str("object", o.Name).Err(err).Send() // The invalid record is overwritten.
 		}
 	} else if !errs.Is(err, errs.NotFound) {
@@ -132,12 +130,12 @@
 	if !c.isLeader {
 		return
 	}
-	previousEnded := now >= c.previousLeaseEnd
+	previousEnded, version := now >= c.previousLeaseEnd, c.leadershipVersion
+	resigned := fleet.CoordinatorRecord{Host: c.settings.Host, Epoch: c.round, Resigned: true}
 	c.resign("the node is stopping")
 	c.runAsync(func(ctx context.Context) func(clock.Instant) {
 		if previousEnded {
-			resigned := fleet.CoordinatorRecord{Host: c.settings.Host, Epoch: c.round, Resigned: true}
-			if _, err := c.store.Put(ctx, fleet.CoordinatorKind, fleet.CoordinatorName, resigned.Encode(), c.leadershipVersion); err != nil {
+			if _, err := c.store.Put(ctx, fleet.CoordinatorKind, fleet.CoordinatorName, resigned.Encode(), version); err != nil {
 				event.StoreWriteFailed.On(c.log).Str("object", fleet.CoordinatorName).Err(err).Send() // The next leader waits for the lease to expire.
 			}
 		}
@@ -159,8 +157,8 @@
 	c.crashCounts = map[uint64]map[string]int{}
 	event.LeadershipAcquired.On(c.log).Uint64("round", round).Uint64("revision", v.Revision).Send()
 	c.installView(now, c.state.view.Load().Merge(v))
-	go c.watchFleet(ctx, v.Revision)
-	go c.refresh(ctx)
+	go c.supervise(ctx, "fleet watch", func(ctx context.Context) { c.watchFleet(ctx, v.Revision) })
+	go c.supervise(ctx, "refresh", c.refresh)
 	c.tick(now)
 }
 
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -42,6 +42,8 @@
 	leaseCheckedAt clock.Instant // send time of the last lease check
 	// deregistered is the instance that has deregistered, if it is the current one or no instance is known yet.
 	deregistered string
+	// deregisteredBorn is the start time of that instance in Unix milliseconds, 0 if it is not known.
+	deregisteredBorn int64
 	// targetExited is set when the target's process is known to have exited.
 	targetExited bool
 	// connectionBroken is set when the connection to the target broke during a request.
@@ -82,7 +84,7 @@
 			event.HeartbeatStale.On(m.log).Str("instance", instance).Str("call", "deregister").Send()
 			return
 		}
-		m.deregistered = instance
+		m.deregistered, m.deregisteredBorn = instance, 0
 		m.holder.StartDraining()
 		m.publishTarget(now)
 		m.reconcile(now)
@@ -93,7 +95,10 @@
 // isDeregistered reports whether the target has deregistered.
 func (m *member) isDeregistered() bool {
 	last, _ := m.holder.LastHeartbeat()
-	return m.deregistered != "" && (last.Instance == "" || last.Instance == m.deregistered)
+	if m.deregistered == "" || last.Instance == "" {
+		return m.deregistered != ""
+	}
+	return last.Instance == m.deregistered && (m.deregisteredBorn == 0 || m.deregisteredBorn == last.StartTimeMs)
 }
 
 // Malformed records a heartbeat that can't be decoded.
@@ -278,7 +283,8 @@
 		t, err := fleet.DecodeTarget(o)
 		if err != nil {
 			event.ObjectInvalid.On(m.log).Str("object", o.Name).Err(err).Send()
-			t = &fleet.Target{Host: m.settings.Host, Term: m.holder.Owner().Term, State: fleet.Revoked, Version: o.Version}
+			// Each term took a write of the record, so that no earlier term is above the version.
+			t = &fleet.Target{Host: m.settings.Host, Term: max(m.holder.Owner().Term, o.Version), State: fleet.Revoked, Version: o.Version}
 		}
 		m.leaseCheckedAt, m.recordLoaded = sent, true
 		m.observeRecord(t, sent)
@@ -289,6 +295,9 @@
 
 // observeRecord applies a record that was read from the store by a call sent at the instant.
 func (m *member) observeRecord(t *fleet.Target, sent clock.Instant) {
+	if m.record == nil {
+		m.adoptDeparture(t)
+	}
 	if m.record == nil || t.Version >= m.record.Version {
 		m.record = t
 	}
@@ -300,6 +309,16 @@
 	}
 }
 
+// adoptDeparture takes over from the record that the target has deregistered, which an earlier process of the node acknowledged. The
+// target goes on sending heartbeats until it exits, which need not say that it is leaving.
+func (m *member) adoptDeparture(t *fleet.Target) {
+	last, _ := m.holder.LastHeartbeat()
+	if t.State == fleet.Leaving && m.deregistered == "" && !last.Draining {
+		m.deregistered, m.deregisteredBorn = t.Instance, t.StartTimeMs
+		m.holder.StartDraining()
+	}
+}
+
 func (m *member) markRevoked(reason string) {
 	if m.holder.Remaining(m.clock.Now()) > 0 {
 		event.TermRevoked.On(m.log).Uint64("term", m.holder.Owner().Term).Str("why", reason).Send()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -79,7 +79,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(n.ctx, 2*time.Second)
 		defer cancel()
-		n.post(call(ctx))
+		if !n.protect("call", func() { n.post(call(ctx)) }) {
+			n.post(n.rebuildControl) // The result is missing, and with it the end of the call in the control state.
+		}
 	}()
 }
 
@@ -90,11 +92,10 @@
 	for {
 		select {
 		case event := <-n.controlEvents:
-			event(n.clock.Now())
+			n.runControlEvent(event)
 		case <-ticker.C:
-			now := n.clock.Now()
-			n.member.tick(now)
-			n.coordinator.tick(now)
+			n.runControlEvent(n.member.tick)
+			n.runControlEvent(n.coordinator.tick)
 		case <-ctx.Done():
 			return
 		}
@@ -158,6 +159,8 @@
 	}
 	n.metrics.countStoreCall(call, outcome)
 	switch {
+	case call == platform.CallDecode:
+		n.lines.logLimited(func(l *log.Logger) { event.ObjectInvalid.On(l).Err(err).Send() }) // The call itself succeeded.
 	case err == nil || errs.Is(err, errs.NotFound) || errs.Is(err, errs.Conflict) || errs.Is(err, errs.Compacted):
 		n.state.storeAnsweredAt.Store(int64(n.clock.Now()))
 		if n.metrics.storeUp.CompareAndSwap(false, true) {
--- a/internal/sidecar/pace.go
+++ b/internal/sidecar/pace.go
@@ -31,7 +31,7 @@
 		Method: http.MethodGet, Path: config.Services[g.settings.Service].HealthPath, Header: http.Header{}, Host: g.settings.Target,
 		Belongs: platform.IsHealthResponse,
 	}
-	go func() {
+	go g.protect("pace probe", func() {
 		ctx, cancel := context.WithTimeout(g.ctx, paceProbeTimeout)
 		defer cancel()
 		a, err := g.upstream.Do(ctx, request)
@@ -44,7 +44,7 @@
 		g.dispatch.Update(func(now clock.Instant, core *dispatch.Scheduler) {
 			core.ObservePace(now, platform.ReadResponse(a.Status, a.Header).ServiceTimeRatio)
 		})
-	}()
+	})
 }
 
 // shouldMove reports whether another target is expected to respond sooner, even if this one could respond in time.
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -103,11 +103,11 @@
 		return err
 	}
 	go n.controlLoop(workCtx)
-	go n.loadInitialView(workCtx)
-	go n.followConfig(workCtx)
-	go n.followEvacuations(workCtx)
+	go n.supervise(workCtx, "initial view", n.loadInitialView)
+	go n.supervise(workCtx, "configuration", n.followConfig)
+	go n.supervise(workCtx, "evacuations", n.followEvacuations)
 	go n.lines.reportDropped(workCtx)
-	go n.entrance.idle.closeExpired(workCtx)
+	go n.supervise(workCtx, "idle connections", n.entrance.idle.closeExpired)
 	go n.handleHangups(workCtx)
 	select {
 	case <-ctx.Done():
@@ -128,9 +128,9 @@
 	})
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", n.metrics.Handler())
-	s.initEntrance(n.entrance)
+	s.initEntrance(n.protectHandler("entrance", n.entrance))
 	s.readiness = newHTTPServer(readiness)
-	s.heartbeats, s.metrics = newHTTPServer(platform.HeartbeatHandler(n.member)), newHTTPServer(metrics)
+	s.heartbeats, s.metrics = newHTTPServer(n.protectHandler("heartbeats", platform.HeartbeatHandler(n.member))), newHTTPServer(n.protectHandler("metrics", metrics))
 	s.entrance.ConnState = n.entrance.idle.trackState
 	for _, l := range []struct {
 		address string
