Bring the operator's objects to the nodes through the coordinator

Cause: each node kept two watches of the operator's objects, which each change ended and started again, and made 7 to 8 calls at its start. Ruled out: longer waits of the watches (a change ends them all); documents in polls (400 KB to 195 nodes is more than a coordinator's link carries). Change: only the coordinator watches; its polls carry the versions. A node reads an announced configuration once, first by a stale read, whose version shows whether it will do, and reads at most one in 400 ms of a storm. It reads by itself when it is not polled for 1.45 s or when the coordinator says that it can't read the objects. A start takes the host's record from the list of all records and waits for the first heartbeat before it writes one. In fleets above 32 hosts, changes of a table within 1 ms per further host share a write.

--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -26,6 +26,9 @@
 	// EvacuatedZones lists the zones that were out of service at EvacuatedRevision, a revision of the store.
 	EvacuatedZones    []string `json:"evacuated,omitempty"`
 	EvacuatedRevision uint64   `json:"evacuated_at,omitempty"`
+	// OperatorUnread means that the coordinator can't read the configuration and the evacuations, so that the nodes read
+	// them themselves.
+	OperatorUnread bool `json:"operator_unread,omitempty"`
 	// StoreSilentMs is the time in milliseconds for which the store has not answered the coordinator. If it is set,
 	// the node tries the store itself.
 	StoreSilentMs int64 `json:"store_silent_ms,omitempty"`
--- a/internal/sidecar/assign.go
+++ b/internal/sidecar/assign.go
@@ -38,7 +38,7 @@
 		in.Evacuated[zone] = true
 	}
 	for name, s := range config.Services {
-		if s.Keyed && !c.pendingWrites[fleet.TableName(name)] {
+		if s.Keyed && !c.pendingWrites[fleet.TableName(name)] && c.tableWriteDue(now, name, len(v.Targets)) {
 			in.Keyed[name] = true
 		}
 	}
@@ -99,6 +99,34 @@
 	})
 }
 
+// tableWriteDue reports whether the table may be written again. In a large fleet the changes of a short time share one write, whose
+// cost is that of a call to the store and of a poll to each node; a move takes about a heartbeat interval anyway.
+func (c *coordinator) tableWriteDue(now clock.Instant, service string, hosts int) bool {
+	due := c.tableWrittenAt[service].Add(time.Duration(max(0, hosts-smallFleetHosts)) * tableSpacingPerHost)
+	if now >= due {
+		return true
+	}
+	if !c.planScheduled {
+		c.planScheduled = true
+		time.AfterFunc(due.Sub(now), func() {
+			c.post(func(after clock.Instant) {
+				c.planScheduled = false
+				if c.isLeader {
+					c.plan(after)
+				}
+			})
+		})
+	}
+	return false
+}
+
+const (
+	// smallFleetHosts is the size of a fleet in which each change of a table is written at once.
+	smallFleetHosts = 32
+	// tableSpacingPerHost is the time between two writes of a table for each further host.
+	tableSpacingPerHost = time.Millisecond
+)
+
 func (c *coordinator) writeTable(now clock.Instant, service string, change *placement.Change) {
 	for i, m := range change.Moves {
 		if i == maxMoveLogLines {
@@ -110,6 +138,7 @@
 	if change.Rebalanced {
 		c.rebalancedAt[service] = now
 	}
+	c.tableWrittenAt[service] = now
 	change.Table.MergeAdjacent()
 	version := uint64(0)
 	if t := c.state.view.Load().Tables[service]; t != nil {
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/citronvane/citronvane/internal/clock"
@@ -11,7 +12,6 @@
 	"github.com/citronvane/citronvane/internal/keyspace"
 	"github.com/citronvane/citronvane/internal/placement"
 	"github.com/citronvane/citronvane/internal/store"
-	"github.com/citronvane/citronvane/platform"
 )
 
 // coordinator tracks the fleet's leader. While this node is the leader, it polls the other nodes, renews their leases,
@@ -22,6 +22,7 @@
 	// lastPolled is when this node last received a poll, or resigned; lastPoll is that poll without its view.
 	lastPolled clock.Instant
 	lastPoll   fleet.Poll
+	startedAt  clock.Instant
 	jitter     time.Duration
 	// campaignEnded is when the last lost campaign ended. It delays the next campaign, but does not count as a poll.
 	campaignEnded clock.Instant
@@ -29,8 +30,11 @@
 	fetchingConfig bool
 	// needsFullView is set when the last view delta did not apply to the local view.
 	needsFullView bool
-	// configFetchedAt is when this node last read the configuration because no leader polled it.
+	// configFetchedAt is when this node last read an announced configuration, announcedConfig the version announced last.
 	configFetchedAt clock.Instant
+	announcedConfig atomic.Uint64
+	// nextOperatorFetch is when this node may next read the operator's objects without an announcement.
+	nextOperatorFetch clock.Instant
 
 	isLeader bool
 	// leadershipVersion is the store version of the leadership record that names this node.
@@ -46,11 +50,16 @@
 	// previousLeaseEnd is when the leadership lease of the previous leader has expired at the latest.
 	previousLeaseEnd clock.Instant
 	outage           storeOutage
-	history          *fleet.History
-	polledNodes      map[string]*polledNode
-	revokedSince     map[keyspace.Owner]clock.Instant
+	// operatorUnread is set while the leader can't read the operator's objects.
+	operatorUnread bool
+	history        *fleet.History
+	polledNodes    map[string]*polledNode
+	revokedSince   map[keyspace.Owner]clock.Instant
 	// rebalancedAt holds, by service, when ranges were last moved to balance load.
 	rebalancedAt map[string]clock.Instant
+	// tableWrittenAt holds, by service, when its table was last written. planScheduled is set while a plan waits for the next write.
+	tableWrittenAt map[string]clock.Instant
+	planScheduled  bool
 	// expectedDemand holds the demand of moved ranges that their new owners have not measured yet.
 	expectedDemand []placement.DemandEstimate
 	pendingWrites  map[string]bool // names of objects with a write in flight
@@ -72,7 +81,8 @@
 }
 
 func newCoordinator(n *node) *coordinator {
-	c := &coordinator{node: n, lastPolled: n.clock.Now().Add(-electionTimeout)}
+	c := &coordinator{node: n, startedAt: n.clock.Now()}
+	c.lastPolled = c.startedAt.Add(-electionTimeout)
 	c.jitter = c.newElectionJitter()
 	return c
 }
@@ -92,7 +102,8 @@
 		c.mergeView(now, p.View)
 	}
 	c.gate.setQuarantine(p.Quarantine)
-	c.applyOperatorState(p)
+	c.announcedConfig.Store(p.ConfigVersion)
+	c.applyOperatorState(now, p)
 	if p.StoreSilentMs > 0 {
 		c.probeStore()
 	}
@@ -103,29 +114,6 @@
 	return c.member.buildReport(now)
 }
 
-// fetchConfigDelayed reads the configuration whose version the leader has announced, unless the local watch delivers it first.
-func (c *coordinator) fetchConfigDelayed(version uint64) {
-	c.fetchingConfig = true
-	c.runAsync(func(ctx context.Context) func(clock.Instant) {
-		sleep(ctx, configFetchDelayFor(c.state.configBytes.Load(), c.settings.LinkMbps))
-		if c.state.configVersion.Load() < version {
-			c.fetchConfig(ctx)
-		}
-		return func(clock.Instant) {
-			c.fetchingConfig = false
-		}
-	})
-}
-
-// configFetchDelayFor returns how long to wait for the local watch to deliver a document of the given size.
-func configFetchDelayFor(bytes int64, linkMbps float64) time.Duration {
-	if linkMbps <= 0 {
-		return configFetchDelay
-	}
-	onLink := time.Duration(float64(8*bytes) / (linkMbps * 1e6) * float64(time.Second))
-	return min(configFetchDelay+2*onLink, maxConfigFetchDelay)
-}
-
 // mergeView merges the full or incremental view of a poll into the local view.
 func (c *coordinator) mergeView(now clock.Instant, update *fleet.View) {
 	own := c.state.view.Load()
@@ -150,37 +138,6 @@
 	})
 }
 
-// applyOperatorState applies the operator's objects that the poll carries: the configuration version and the evacuated zones.
-func (c *coordinator) applyOperatorState(p *fleet.Poll) {
-	if p.ConfigVersion > c.state.configVersion.Load() && !c.fetchingConfig {
-		c.fetchConfigDelayed(p.ConfigVersion)
-	}
-	if p.EvacuatedRevision > c.state.evacuatedRevision.Load() {
-		zones := make([]store.Change, len(p.EvacuatedZones))
-		for i, zone := range p.EvacuatedZones {
-			zones[i].Name = zone
-		}
-		c.applyEvacuations(zones, p.EvacuatedRevision, true)
-	}
-}
-
-// refresh periodically confirms leadership and reads the operator's objects while this node is the leader, because a watch
-// may miss changes.
-func (c *coordinator) refresh(ctx context.Context) {
-	for sleep(ctx, refreshInterval) {
-		c.confirmLeadership(ctx)
-		c.fetchConfig(ctx)
-		if changes, revision, err := c.listKind(ctx, platform.EvacuationKind); err == nil {
-			c.applyEvacuations(changes, revision, true)
-		}
-		c.post(func(now clock.Instant) {
-			if c.isLeader {
-				c.pollAll(now)
-			}
-		})
-	}
-}
-
 // installView replaces the local view with a newer one.
 func (c *coordinator) installView(now clock.Instant, v *fleet.View) {
 	c.state.view.Store(v)
@@ -205,12 +162,8 @@
 		if now.Sub(max(c.lastPolled, c.campaignEnded)) > electionTimeout+c.jitter && !c.campaigning && c.state.viewLoaded.Load() && !c.state.draining.Load() {
 			c.campaign(now)
 		}
-		if now.Sub(c.lastPolled) > configFetchTimeout && now.Sub(c.configFetchedAt) > refreshInterval {
-			c.configFetchedAt = now
-			c.runAsync(func(ctx context.Context) func(clock.Instant) {
-				c.fetchConfig(ctx)
-				return func(clock.Instant) {}
-			})
+		if now.Sub(max(c.lastPolled, c.startedAt)) > configFetchTimeout {
+			c.fetchOperatorState(now)
 		}
 		return
 	}
@@ -331,13 +284,16 @@
 	for zone, since := range *c.state.evacuated.Load() {
 		stamp += uint64(since) + uint64(len(zone))
 	}
+	if c.operatorUnread {
+		stamp++
+	}
 	return stamp
 }
 
 // newPoll returns the next poll for a node, with the view changes that it has not seen and the renewal of its lease.
 func (c *coordinator) newPoll(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View, stamp uint64) *fleet.Poll {
 	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Epoch: c.round, Quarantine: c.quarantine,
-		ConfigVersion: c.state.configVersion.Load(), EvacuatedRevision: c.state.evacuatedRevision.Load()}
+		ConfigVersion: c.state.configVersion.Load(), EvacuatedRevision: c.state.evacuatedRevision.Load(), OperatorUnread: c.operatorUnread}
 	for zone := range *c.state.evacuated.Load() {
 		p.EvacuatedZones = append(p.EvacuatedZones, zone)
 	}
--- a/internal/sidecar/lead.go
+++ b/internal/sidecar/lead.go
@@ -151,14 +151,18 @@
 	c.polledNodes = map[string]*polledNode{}
 	c.revokedSince = map[keyspace.Owner]clock.Instant{}
 	c.rebalancedAt = map[string]clock.Instant{}
+	c.tableWrittenAt, c.planScheduled = map[string]clock.Instant{}, false
 	c.pendingWrites = map[string]bool{}
 	c.revokeAttempted = map[keyspace.Owner]bool{}
 	c.expectedDemand = nil
 	c.crashCounts = map[uint64]map[string]int{}
+	c.operatorUnread = false
 	event.LeadershipAcquired.On(c.log).Uint64("round", round).Uint64("revision", v.Revision).Send()
 	c.installView(now, c.state.view.Load().Merge(v))
 	go c.supervise(ctx, "fleet watch", func(ctx context.Context) { c.watchFleet(ctx, v.Revision) })
 	go c.supervise(ctx, "refresh", c.refresh)
+	go c.supervise(ctx, "configuration", c.followConfig)
+	go c.supervise(ctx, "evacuations", c.followEvacuations)
 	c.tick(now)
 }
 
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -24,6 +24,11 @@
 	overloadReportThreshold = 4
 	// overloadReportInterval is the minimum time between two such reports.
 	overloadReportInterval = 450 * time.Millisecond
+	// initialViewTimeout is how long a starting node waits for the list of all records before it reads its own one.
+	initialViewTimeout = 600 * time.Millisecond
+	// firstHeartbeatWait is how long a starting node without a record waits for its target's first heartbeat, which spares one of two
+	// writes. Heartbeats are sent about once a second.
+	firstHeartbeatWait = 1200 * time.Millisecond
 	// replyTimeout bounds how long a heartbeat waits for the control goroutine. The target times out after 1 s.
 	replyTimeout = 700 * time.Millisecond
 )
@@ -36,6 +41,7 @@
 	// record is the host's record as last read or written, nil if there is none. It is only valid if recordLoaded is set.
 	record       *fleet.Target
 	recordLoaded bool
+	startedAt    clock.Instant
 	// recordBusy is set while a read or write of the record is in flight.
 	recordBusy     bool
 	retryAt        clock.Instant
@@ -57,7 +63,7 @@
 
 func newMember(n *node) *member {
 	hold := max(defaultHold, time.Duration(2.5*float64(n.settings.HeartbeatInterval())))
-	return &member{node: n, holder: tenure.NewTargetLease(n.clock.Now(), tenure.Options{
+	return &member{node: n, startedAt: n.clock.Now(), holder: tenure.NewTargetLease(n.clock.Now(), tenure.Options{
 		LeaseDuration: leaseTerm, HoldDuration: min(hold, n.bounds.MaxHoldDuration), RowSize: platform.GrantRowSize, MaxRowsSize: platform.MaxGrantRowsSize,
 	})}
 }
@@ -186,7 +192,9 @@
 	}
 	last, _ := m.holder.LastHeartbeat()
 	if !m.recordLoaded {
-		m.loadRecord(now)
+		if m.state.viewLoaded.Load() || now.Sub(m.startedAt) > initialViewTimeout {
+			m.loadRecord(now)
+		}
 		return
 	}
 	if want := m.desiredRecord(now, last); want != nil {
@@ -212,6 +220,9 @@
 		if m.record != nil {
 			return nil // The record of an earlier process of the node stays until the target sends a heartbeat.
 		}
+		if now.Sub(m.startedAt) < firstHeartbeatWait {
+			return nil
+		}
 		state = fleet.Down // The leader only polls nodes that have a record.
 	}
 	r := m.record
@@ -293,6 +304,18 @@
 	m.publishTarget(now)
 }
 
+// adoptListedRecord takes the host's record from a list of all records that was sent at the instant, which saves a read at the start. An
+// invalid record is missing in the view; creating it anew fails, and it is read.
+func (m *member) adoptListedRecord(v *fleet.View, sent clock.Instant) {
+	if m.recordLoaded || m.recordBusy {
+		return
+	}
+	m.recordLoaded, m.leaseCheckedAt = true, sent
+	if own := v.Targets[m.settings.Host]; own != nil {
+		m.observeRecord(own, sent)
+	}
+}
+
 // observeRecord applies a record that was read from the store by a call sent at the instant.
 func (m *member) observeRecord(t *fleet.Target, sent clock.Instant) {
 	if m.record == nil {
--- a/internal/sidecar/member_test.go
+++ b/internal/sidecar/member_test.go
@@ -10,15 +10,6 @@
 	"github.com/citronvane/citronvane/internal/tenure"
 )
 
-// Guards against a slow link that carries a large configuration twice, once through the watch and once through a read, so that the
-// configuration takes effect late.
-func TestConfigFetchDelayGrowsOnSlowLinks(t *testing.T) {
-	require.Equal(t, configFetchDelay, configFetchDelayFor(0, 11))
-	require.Equal(t, configFetchDelay, configFetchDelayFor(400_000, 0), "the rate of the link is unknown")
-	require.InDelta(t, 0.98, configFetchDelayFor(400_000, 11).Seconds(), 0.01)
-	require.Equal(t, maxConfigFetchDelay, configFetchDelayFor(4_000_000, 11))
-}
-
 // Guards against a restarted node that has read its record but not the table yet, and makes its target release all ranges with an
 // empty grant.
 func TestNoGrantBeforeTableIsLoaded(t *testing.T) {
--- /dev/null
+++ b/internal/sidecar/operator.go
@@ -0,0 +1,213 @@
+package sidecar
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/event"
+	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/store"
+	"github.com/citronvane/citronvane/platform"
+)
+
+// The operator's objects, the configuration and the evacuated zones, reach the nodes through the leader: only the leader watches them,
+// and its polls carry their versions, so that a change costs one read a node and a calm day none. A node that is not polled, or whose
+// leader can't read the objects, reads them itself.
+
+// applyOperatorState applies the operator's objects that the poll carries: the configuration version and the evacuated zones.
+func (c *coordinator) applyOperatorState(now clock.Instant, p *fleet.Poll) {
+	if p.ConfigVersion > c.state.configVersion.Load() {
+		c.fetchAnnouncedConfig(now)
+	}
+	if p.EvacuatedRevision > c.state.evacuatedRevision.Load() {
+		zones := make([]store.Change, len(p.EvacuatedZones))
+		for i, zone := range p.EvacuatedZones {
+			zones[i].Name = zone
+		}
+		c.applyEvacuations(zones, p.EvacuatedRevision, true)
+	}
+	if p.OperatorUnread {
+		c.fetchOperatorState(now)
+	}
+}
+
+// fetchAnnouncedConfig reads the configuration whose version the leader has announced.
+func (c *coordinator) fetchAnnouncedConfig(now clock.Instant) {
+	if c.fetchingConfig {
+		return // The end of the read looks for a later announcement.
+	}
+	c.fetchingConfig = true
+	wait := c.configFetchedAt.Add(configFetchSpacing).Sub(now)
+	c.runAsync(func(ctx context.Context) func(clock.Instant) {
+		sleep(ctx, wait)
+		err := c.fetchConfigVersion(ctx, c.announcedConfig.Load())
+		return func(after clock.Instant) {
+			c.fetchingConfig, c.configFetchedAt = false, after
+			if err == nil && c.announcedConfig.Load() > c.state.configVersion.Load() {
+				c.fetchAnnouncedConfig(after)
+			}
+		}
+	})
+}
+
+// fetchConfigVersion reads the configuration of at least the given version. A stale read shows by its version whether it will do.
+func (n *node) fetchConfigVersion(ctx context.Context, version uint64) error {
+	if n.state.configBytes.Load() <= maxStaleConfigBytes {
+		if o, err := n.store.GetStale(ctx, platform.ConfigKind, platform.ConfigName); err == nil && o.Version >= version {
+			n.applyConfig(o)
+			return nil
+		}
+	}
+	return n.fetchConfig(ctx)
+}
+
+// fetchOperatorState reads the operator's objects from the store, unless the node has just done so.
+func (c *coordinator) fetchOperatorState(now clock.Instant) {
+	if now < c.nextOperatorFetch {
+		return
+	}
+	c.nextOperatorFetch = now.Add(operatorFetchInterval)
+	c.runAsync(func(ctx context.Context) func(clock.Instant) {
+		err := c.fetchConfig(ctx)
+		if err == nil {
+			err = c.fetchEvacuations(ctx)
+		}
+		return func(clock.Instant) {
+			if err != nil {
+				c.nextOperatorFetch = now.Add(operatorFetchBackoff)
+			}
+		}
+	})
+}
+
+// refresh periodically confirms leadership and reads the operator's objects while this node is the leader, because a watch
+// may miss changes.
+func (c *coordinator) refresh(ctx context.Context) {
+	for first := true; first || sleep(ctx, refreshInterval); first = false {
+		readCtx, cancel := context.WithTimeout(ctx, refreshTimeout)
+		var group sync.WaitGroup
+		var configErr, evacuationErr error
+		group.Go(func() { c.confirmLeadership(readCtx) })
+		group.Go(func() { configErr = c.fetchConfig(readCtx) })
+		group.Go(func() { evacuationErr = c.fetchEvacuations(readCtx) })
+		group.Wait()
+		cancel()
+		c.post(func(now clock.Instant) {
+			if c.isLeader && ctx.Err() == nil {
+				c.operatorUnread = configErr != nil || evacuationErr != nil
+				c.pollAll(now)
+			}
+		})
+	}
+}
+
+// followConfig applies each new configuration from the store.
+func (n *node) followConfig(ctx context.Context) {
+	n.followKind(ctx, platform.ConfigKind, func(changes []store.Change, _ uint64, _ bool) {
+		for _, c := range changes {
+			if c.Name == platform.ConfigName && !c.Deleted {
+				n.applyConfig(c.Object)
+			}
+		}
+	})
+}
+
+// fetchConfig reads the configuration without a watch.
+func (n *node) fetchConfig(ctx context.Context) error {
+	o, err := n.store.Get(ctx, platform.ConfigKind, platform.ConfigName)
+	if err == nil {
+		n.applyConfig(o)
+	}
+	return err
+}
+
+// fetchEvacuations reads the evacuated zones without a watch.
+func (n *node) fetchEvacuations(ctx context.Context) error {
+	changes, revision, err := n.listKind(ctx, platform.EvacuationKind)
+	if err == nil {
+		n.applyEvacuations(changes, revision, true)
+	}
+	return err
+}
+
+// loadInitialConfig reads the configuration at the start, so that the node can serve before the leader polls it.
+func (n *node) loadInitialConfig(ctx context.Context) {
+	sleep(ctx, time.Duration(rand.Int64N(int64(startJitter))))
+	for n.state.config.Load() == nil && n.fetchConfig(ctx) != nil {
+		if !sleep(ctx, storeRetryDelay+time.Duration(rand.Int64N(int64(storeRetryDelay)))) {
+			return
+		}
+	}
+}
+
+// applyConfig applies a configuration unless it is older than the current one.
+func (n *node) applyConfig(o store.Object) {
+	n.applyMu.Lock()
+	defer n.applyMu.Unlock()
+	if o.Version <= n.state.configVersion.Load() {
+		return
+	}
+	next, err := platform.DecodeConfig(o.Value)
+	if err != nil {
+		event.ConfigInvalid.On(n.log).Uint64("revision", o.Version).Err(err).Send()
+		return
+	}
+	old := n.state.config.Load()
+	if old != nil && next.Version <= old.Version {
+		return // Never return to an older version, even if the store object is newer.
+	}
+	n.state.config.Store(next)
+	n.state.configBytes.Store(int64(len(o.Value)))
+	n.state.configVersion.Store(o.Version)
+	event.ConfigApplied.On(n.log).Uint64("version", next.Version).Uint64("revision", o.Version).Send()
+	n.entrance.applyConfig(next)
+	n.gate.applyConfig(next)
+}
+
+// followEvacuations applies changes of the set of evacuated zones.
+func (n *node) followEvacuations(ctx context.Context) {
+	n.followKind(ctx, platform.EvacuationKind, n.applyEvacuations)
+}
+
+// applyEvacuations changes the set of evacuated zones, unless the current set is from a later revision.
+func (n *node) applyEvacuations(changes []store.Change, revision uint64, replace bool) {
+	n.applyMu.Lock()
+	defer n.applyMu.Unlock()
+	if revision < n.state.evacuatedRevision.Load() {
+		return
+	}
+	now := n.clock.Now()
+	old := *n.state.evacuated.Load()
+	zones := map[string]clock.Instant{}
+	if !replace {
+		for zone, since := range old {
+			zones[zone] = since
+		}
+	}
+	for _, c := range changes {
+		if c.Deleted {
+			delete(zones, c.Name)
+		} else if since, out := old[c.Name]; out {
+			zones[c.Name] = since
+		} else {
+			zones[c.Name] = now
+		}
+	}
+	n.state.evacuatedRevision.Store(revision)
+	if maps.Equal(old, zones) {
+		return
+	}
+	n.state.evacuated.Store(&zones)
+	event.EvacuationsChanged.On(n.log).Any("zones", slices.Sorted(maps.Keys(zones))).Uint64("revision", revision).Send()
+	if _, wasEvacuated := old[n.settings.AvailabilityZone]; wasEvacuated {
+		if _, isEvacuated := zones[n.settings.AvailabilityZone]; !isEvacuated {
+			n.gate.zoneReturned()
+		}
+	}
+	go n.post(n.coordinator.tick)
+}
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -41,8 +41,20 @@
 	unresponsiveTimeout = 2200 * time.Millisecond
 	// refreshInterval is how often the leader reads the operator's objects, because a watch may miss a change for seconds.
 	refreshInterval = 900 * time.Millisecond
-	// configFetchTimeout is how long a node receives no poll before it reads the configuration itself.
-	configFetchTimeout = 1600 * time.Millisecond
+	// configFetchTimeout is how long a node receives no poll before it reads the operator's objects itself. Polls arrive at most
+	// pollInterval and controlTick apart, and a configuration has to be applied within 2 s.
+	configFetchTimeout = 1450 * time.Millisecond
+	// refreshTimeout bounds the leader's reads of the operator's objects. After that the nodes read them themselves.
+	refreshTimeout = 600 * time.Millisecond
+	// operatorFetchInterval is the time between two such reads of a node, and operatorFetchBackoff that after a failed one.
+	operatorFetchInterval = time.Second
+	operatorFetchBackoff  = 2 * time.Second
+	// configFetchSpacing is the time between two reads of announced configurations. Of configurations that follow each other faster,
+	// a node reads only some.
+	configFetchSpacing = 400 * time.Millisecond
+	// maxStaleConfigBytes is the size of a configuration up to which a node first tries a stale read, which is cheap but may return
+	// the previous one.
+	maxStaleConfigBytes = 64 << 10
 	// electionTimeout is how long a node receives no poll before it campaigns to become the leader.
 	electionTimeout = 2500 * time.Millisecond
 	// electionJitter is the maximum random delay added to electionTimeout, so that nodes do not campaign at the same time.
@@ -54,11 +66,6 @@
 	registrationWait = 4 * time.Second
 	// watchWait is the long-poll timeout of a watch of the operator's objects, the maximum that the platform allows.
 	watchWait = 30 * time.Second
-	// configFetchDelay is how long a node waits for its own watch to deliver a configuration that the leader has read, in addition to
-	// twice the transfer time of the last document. Reading a document twice delays the next one.
-	configFetchDelay = 400 * time.Millisecond
-	// maxConfigFetchDelay bounds the sum. A configuration has to be applied within 2 s after the store has acknowledged it.
-	maxConfigFetchDelay = time.Second
 	// coordinatorWatchWait is the long-poll timeout of the leader's watch. It is short so that the leader detects a dead connection
 	// soon.
 	coordinatorWatchWait = 5 * time.Second
