Carry small configurations in polls, and name the coordinator's address in its record

At the first start 7 nodes led one after another: a node that asks the recorded coordinator whether it lives looked its address up among the targets' records, where a coordinator that has just started has none. Ruled out: a later stale read (stale reads are seconds old, the bound is 2 s). Change: polls carry the configuration (up to 32 KiB) to nodes that report an older version; stale reads go again. The coordinator record names the relay address. At the first start of a fleet the elections spread over 2.4 s, so that most nodes are polled before they ask. A poll that fails is repeated at the next tick, as it may have carried a change.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -250,6 +250,8 @@
 // CoordinatorRecord names the current coordinator in the store.
 type CoordinatorRecord struct {
 	Host string `json:"host"`
+	// Relay is the address for messages to the coordinator.
+	Relay string `json:"relay,omitempty"`
 	// Epoch increases with each change of the coordinator.
 	Epoch uint64 `json:"round"`
 	// Resigned means that the host has stopped acting as the coordinator and that no earlier coordinator can still
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -23,6 +23,8 @@
 	CoordinatorLeaseMs int64  `json:"authority_ms,omitempty"`
 	// ConfigVersion is the store version of the configuration that the coordinator read last.
 	ConfigVersion uint64 `json:"config,omitempty"`
+	// Config is the configuration of that version, if the node has an older one and it is small enough.
+	Config json.RawMessage `json:"config_document,omitempty"`
 	// EvacuatedZones lists the zones that were out of service at EvacuatedRevision, a revision of the store.
 	EvacuatedZones    []string `json:"evacuated,omitempty"`
 	EvacuatedRevision uint64   `json:"evacuated_at,omitempty"`
@@ -43,6 +45,8 @@
 	Host string `json:"host"`
 	// ViewVersion is the latest version in the view of the node; 0 requests a complete view.
 	ViewVersion uint64 `json:"stamp"`
+	// ConfigVersion is the store version of the configuration of the node, 0 if it has none.
+	ConfigVersion uint64 `json:"config,omitempty"`
 	// ProcessID is a random number that identifies the process of the node. SentAt is the time of the report on the
 	// clock of the node.
 	ProcessID uint64 `json:"process"`
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -81,7 +81,7 @@
 }
 
 func newCoordinator(n *node) *coordinator {
-	c := &coordinator{node: n, startedAt: n.clock.Now()}
+	c := &coordinator{node: n, startedAt: n.clock.Now(), tableWrittenAt: map[string]clock.Instant{}}
 	c.lastPolled = c.startedAt.Add(-electionTimeout)
 	c.jitter = c.newElectionJitter()
 	return c
@@ -97,7 +97,7 @@
 		c.resign("received a poll from a later coordinator")
 	}
 	c.lastPolled, c.lastPoll = now, *p
-	c.lastPoll.View = nil
+	c.lastPoll.View, c.lastPoll.Config = nil, nil
 	if p.View != nil {
 		c.mergeView(now, p.View)
 	}
@@ -293,7 +293,8 @@
 // newPoll returns the next poll for a node, with the view changes that it has not seen and the renewal of its lease.
 func (c *coordinator) newPoll(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View, stamp uint64) *fleet.Poll {
 	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Epoch: c.round, Quarantine: c.quarantine,
-		ConfigVersion: c.state.configVersion.Load(), EvacuatedRevision: c.state.evacuatedRevision.Load(), OperatorUnread: c.operatorUnread}
+		EvacuatedRevision: c.state.evacuatedRevision.Load(), OperatorUnread: c.operatorUnread}
+	c.announceConfig(p, n)
 	for zone := range *c.state.evacuated.Load() {
 		p.EvacuatedZones = append(p.EvacuatedZones, zone)
 	}
@@ -315,6 +316,9 @@
 		r, err := c.sendMessage(ctx, t.Relay, methodPoll, p.Encode())
 		return func(after clock.Instant) {
 			n.pollPending = false
+			if err != nil {
+				n.operatorStamp = 0 // The operator's objects may not have arrived; the next tick polls again.
+			}
 			if err != nil || !c.isLeader || c.round != round {
 				return
 			}
--- a/internal/sidecar/lead.go
+++ b/internal/sidecar/lead.go
@@ -17,6 +17,9 @@
 // which the polls of a leader would take up a large part of the bandwidth.
 func (c *coordinator) newElectionJitter() time.Duration {
 	factor := rand.Float64()
+	if c.state.startsFleet() {
+		factor *= firstElectionSpread
+	}
 	if mbps := c.settings.LinkMbps; mbps > 0 {
 		factor += min(1, smallLinkMbps/mbps)
 	}
@@ -93,11 +96,11 @@
 
 // coordinatorResponds reports whether the leader that the store names still leads.
 func (c *coordinator) coordinatorResponds(ctx context.Context, previous fleet.CoordinatorRecord, ownReport *fleet.Report) bool {
-	t := c.state.view.Load().Targets[previous.Host]
-	if previous.Resigned || t == nil || previous.Host == c.settings.Host {
+	// The record names the address, because a coordinator that has just started may have no target record yet.
+	if previous.Resigned || previous.Relay == "" || previous.Host == c.settings.Host {
 		return false
 	}
-	r, err := c.sendMessage(ctx, t.Relay, methodReport, ownReport.Encode())
+	r, err := c.sendMessage(ctx, previous.Relay, methodReport, ownReport.Encode())
 	if err != nil {
 		event.CoordinatorUnresponsive.On(c.log).Str("coordinator", previous.Host).Uint64("round", previous.Epoch).Err(err).Send()
 		return false
@@ -120,7 +123,7 @@
 	if c.coordinatorResponds(ctx, previous, ownReport) {
 		return lead, 0, false, errCoordinatorAlive
 	}
-	lead = fleet.CoordinatorRecord{Host: c.settings.Host, Epoch: max(previous.Epoch, o.Version) + 1}
+	lead = fleet.CoordinatorRecord{Host: c.settings.Host, Relay: c.settings.Relay(), Epoch: max(previous.Epoch, o.Version) + 1}
 	version, err = c.store.Put(ctx, fleet.CoordinatorKind, fleet.CoordinatorName, lead.Encode(), o.Version)
 	return lead, version, o.Version == 0 || previous.Resigned, err
 }
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -448,6 +448,7 @@
 		ProcessID:       m.processIncarnation,
 		SentAt:          int64(now),
 		ViewVersion:     m.state.view.Load().LatestVersion(),
+		ConfigVersion:   m.state.configVersion.Load(),
 		LeaseMs:         m.holder.Remaining(now).Milliseconds(),
 		NextHeartbeatMs: lastAt.Add(m.settings.HeartbeatInterval()).Sub(now).Milliseconds(),
 		ColdRemainingMs: max(0, (last.ColdRemaining - now.Sub(lastAt)).Milliseconds()),
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -16,12 +16,14 @@
 )
 
 // The operator's objects, the configuration and the evacuated zones, reach the nodes through the leader: only the leader watches them,
-// and its polls carry their versions, so that a change costs one read a node and a calm day none. A node that is not polled, or whose
-// leader can't read the objects, reads them itself.
+// and its polls carry them, so that a change costs no call to the store a node. Of a configuration above maxPolledConfigBytes they carry
+// only the version, and each node reads it. A node that is not polled, or whose leader can't read the objects, reads them itself.
 
 // applyOperatorState applies the operator's objects that the poll carries: the configuration version and the evacuated zones.
 func (c *coordinator) applyOperatorState(now clock.Instant, p *fleet.Poll) {
-	if p.ConfigVersion > c.state.configVersion.Load() {
+	if len(p.Config) > 0 {
+		c.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: p.ConfigVersion, Value: p.Config})
+	} else if p.ConfigVersion > c.state.configVersion.Load() {
 		c.fetchAnnouncedConfig(now)
 	}
 	if p.EvacuatedRevision > c.state.evacuatedRevision.Load() {
@@ -45,7 +47,7 @@
 	wait := c.configFetchedAt.Add(configFetchSpacing).Sub(now)
 	c.runAsync(func(ctx context.Context) func(clock.Instant) {
 		sleep(ctx, wait)
-		err := c.fetchConfigVersion(ctx, c.announcedConfig.Load())
+		err := c.fetchConfig(ctx)
 		return func(after clock.Instant) {
 			c.fetchingConfig, c.configFetchedAt = false, after
 			if err == nil && c.announcedConfig.Load() > c.state.configVersion.Load() {
@@ -55,15 +57,13 @@
 	})
 }
 
-// fetchConfigVersion reads the configuration of at least the given version. A stale read shows by its version whether it will do.
-func (n *node) fetchConfigVersion(ctx context.Context, version uint64) error {
-	if n.state.configBytes.Load() <= maxStaleConfigBytes {
-		if o, err := n.store.GetStale(ctx, platform.ConfigKind, platform.ConfigName); err == nil && o.Version >= version {
-			n.applyConfig(o)
-			return nil
-		}
+// announceConfig adds the configuration to a poll for a node that has an older one.
+func (c *coordinator) announceConfig(p *fleet.Poll, n *polledNode) {
+	p.ConfigVersion = c.state.configVersion.Load()
+	if document := c.state.configDocument.Load(); document != nil && document.Version == p.ConfigVersion && len(document.Value) <= maxPolledConfigBytes &&
+		n.Report != nil && n.Report.ConfigVersion < p.ConfigVersion {
+		p.Config = document.Value
 	}
-	return n.fetchConfig(ctx)
 }
 
 // fetchOperatorState reads the operator's objects from the store, unless the node has just done so.
@@ -162,7 +162,7 @@
 		return // Never return to an older version, even if the store object is newer.
 	}
 	n.state.config.Store(next)
-	n.state.configBytes.Store(int64(len(o.Value)))
+	n.state.configDocument.Store(&o)
 	n.state.configVersion.Store(o.Version)
 	event.ConfigApplied.On(n.log).Uint64("version", next.Version).Uint64("revision", o.Version).Send()
 	n.entrance.applyConfig(next)
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -1,14 +1,13 @@
 package sidecar
 
 import (
-	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/store"
-	"github.com/citronvane/citronvane/platform"
 	"github.com/citronvane/citronvane/platform/standin"
 )
 
@@ -69,8 +68,7 @@
 	})
 }
 
-// Guards against calls to the store that grow with nodes times changes: a start costs few calls, a calm time none, and configurations
-// that follow each other fast share reads.
+// Guards against calls to the store that grow with nodes times changes: a start costs few calls, configurations cost none.
 func TestOperatorObjectsCostFewCalls(t *testing.T) {
 	r := newTestFleet(t, 3)
 	leader := r.leader()
@@ -91,54 +89,29 @@
 	}
 	r.requireConfig("/q/x", nil)
 	time.Sleep(time.Second)
-	reads := int(changes*gap/configFetchSpacing) + 2
 	for _, h := range r.hosts {
 		require.Equal(t, uint64(1+changes), h.node.state.config.Load().Version)
 		if h != leader {
-			require.LessOrEqual(t, h.storeProxy.Calls()-before[h], reads, h.node.settings.Node)
+			require.Equal(t, before[h], h.storeProxy.Calls(), "%s: the polls carry the configurations", h.node.settings.Node)
 		}
 	}
 }
 
-// staleStore returns the objects of its kinds of reads.
-type staleStore struct {
-	store.Objects
-	stale, exact           store.Object
-	staleReads, exactReads int
-}
-
-func (s *staleStore) GetStale(context.Context, string, string) (store.Object, error) {
-	s.staleReads++
-	return s.stale, nil
-}
-
-func (s *staleStore) Get(context.Context, string, string) (store.Object, error) {
-	s.exactReads++
-	return s.exact, nil
-}
-
-// Guards against a stale read that brings an older configuration than the announced one, and against reading a large one twice over a
-// slow link.
-func TestStaleReadsOfConfigurations(t *testing.T) {
-	object := func(revision uint64) store.Object {
-		return store.Object{Name: platform.ConfigName, Version: revision, Value: []byte(standin.Configuration(int(revision), "p"))}
-	}
-	for name, c := range map[string]struct {
-		stale                  uint64
-		bytes                  int64
-		staleReads, exactReads int
-	}{
-		"the stale read has it":          {stale: 7, staleReads: 1},
-		"the stale read has a later one": {stale: 8, staleReads: 1},
-		"the stale read is too old":      {stale: 6, staleReads: 1, exactReads: 1},
-		"the configuration is large":     {stale: 7, bytes: maxStaleConfigBytes + 1, exactReads: 1},
-	} {
-		n := newIdleNode(t)
-		s := &staleStore{stale: object(c.stale), exact: object(7)}
-		n.store = s
-		n.state.configBytes.Store(c.bytes)
-		require.NoError(t, n.fetchConfigVersion(t.Context(), 7), name)
-		require.Equal(t, []int{c.staleReads, c.exactReads}, []int{s.staleReads, s.exactReads}, name)
-		require.Equal(t, max(7, c.stale), n.state.config.Load().Version, name)
+// Guards against polls that carry a large configuration to all nodes at once, or a small one to nodes that have it.
+func TestPollsCarrySmallConfigurations(t *testing.T) {
+	n := newIdleNode(t)
+	poll := func(reported uint64, size int) *fleet.Poll {
+		n.state.configDocument.Store(&store.Object{Version: 7, Value: make([]byte, size)})
+		n.state.configVersion.Store(7)
+		p := &fleet.Poll{}
+		node := &polledNode{}
+		node.Report = &fleet.Report{ConfigVersion: reported}
+		n.coordinator.announceConfig(p, node)
+		require.Equal(t, uint64(7), p.ConfigVersion)
+		return p
 	}
+	require.Len(t, poll(6, maxPolledConfigBytes).Config, maxPolledConfigBytes)
+	require.Empty(t, poll(6, maxPolledConfigBytes+1).Config, "the node reads it from the store")
+	require.Empty(t, poll(7, 100).Config, "the node has it")
+	require.Empty(t, poll(8, 100).Config, "the node has a later one")
 }
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -11,6 +11,7 @@
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/ingress"
 	"github.com/citronvane/citronvane/internal/keyspace"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 // Durations of the node. docs/settings.md lists them with their reasons.
@@ -52,13 +53,15 @@
 	// configFetchSpacing is the time between two reads of announced configurations. Of configurations that follow each other faster,
 	// a node reads only some.
 	configFetchSpacing = 400 * time.Millisecond
-	// maxStaleConfigBytes is the size of a configuration up to which a node first tries a stale read, which is cheap but may return
-	// the previous one.
-	maxStaleConfigBytes = 64 << 10
+	// maxPolledConfigBytes is the size of a configuration up to which polls carry it. The leader sends it to all nodes at once.
+	maxPolledConfigBytes = 32 << 10
 	// electionTimeout is how long a node receives no poll before it campaigns to become the leader.
 	electionTimeout = 2500 * time.Millisecond
 	// electionJitter is the maximum random delay added to electionTimeout, so that nodes do not campaign at the same time.
 	electionJitter = 800 * time.Millisecond
+	// firstElectionSpread multiplies electionJitter while the fleet has no targets: all nodes start at once, and most hear from the
+	// first leader before they ask the store for it.
+	firstElectionSpread = 3
 	// smallLinkMbps is the link rate at which the polls of a large fleet take up a large part of the bandwidth. A node with such a
 	// link waits electionJitter longer.
 	smallLinkMbps = 15
@@ -113,10 +116,10 @@
 	// configVersion is the store version of the current configuration, evacuatedRevision the revision of the evacuated zones.
 	configVersion     atomic.Uint64
 	evacuatedRevision atomic.Uint64
-	// configBytes is the size of the document of the current configuration.
-	configBytes atomic.Int64
-	localTarget atomic.Pointer[localTarget]
-	draining    atomic.Bool
+	// configDocument is the object of the current configuration.
+	configDocument atomic.Pointer[store.Object]
+	localTarget    atomic.Pointer[localTarget]
+	draining       atomic.Bool
 	// stopDeadline is the instant at which a stopping node exits, 0 while it is not stopping.
 	stopDeadline atomic.Int64
 	viewLoaded   atomic.Bool
@@ -155,6 +158,12 @@
 	return s.config.Load() != nil && s.viewLoaded.Load() && !s.draining.Load()
 }
 
+// startsFleet reports whether this node knows no target and no table, as at the first start of a fleet.
+func (s *state) startsFleet() bool {
+	v := s.view.Load()
+	return len(v.Targets) == 0 && len(v.Tables) == 0
+}
+
 // evacuatedSince returns when this node learned that the zone is evacuated, and whether it is.
 func (s *state) evacuatedSince(zone string) (clock.Instant, bool) {
 	since, evacuated := (*s.evacuated.Load())[zone]
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -71,6 +71,7 @@
 				n.member.adoptListedRecord(v, sent)
 				n.coordinator.installView(now, n.state.view.Load().Merge(v))
 				n.state.viewLoaded.Store(true)
+				n.coordinator.jitter = n.coordinator.newElectionJitter() // It depends on whether the fleet has run before.
 			})
 			return
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -46,8 +46,6 @@
 type Objects interface {
 	// Get returns one object as it is now, or an error of kind NotFound.
 	Get(ctx context.Context, kind, name string) (Object, error)
-	// GetStale returns one object as it was up to some seconds ago, for a tenth of the price.
-	GetStale(ctx context.Context, kind, name string) (Object, error)
 	// List returns the objects of a kind and the revision that the list reflects.
 	List(ctx context.Context, kind string) ([]Object, uint64, error)
 	// Put writes a value if the object's version is expect; 0 means that it must not exist.
