Spare nodes of a new fleet the reads at their start

Cause: at the first start a node looked for a configuration that was not written yet (two reads of three found none), and the evacuated zones were listed each 0.9 s though they have 5 s to take effect. Change: a node of a new fleet gets the configuration with its first poll; one of a running fleet reads it and the evacuated zones once, with the view. The coordinator lists evacuated zones in every second refresh.

--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -162,7 +162,7 @@
 		if now.Sub(max(c.lastPolled, c.campaignEnded)) > electionTimeout+c.jitter && !c.campaigning && c.state.viewLoaded.Load() && !c.state.draining.Load() {
 			c.campaign(now)
 		}
-		if now.Sub(max(c.lastPolled, c.startedAt)) > configFetchTimeout {
+		if now.Sub(c.lastPolled) > configFetchTimeout && (!c.state.startsFleet() || now.Sub(c.startedAt) > firstPollWait) {
 			c.fetchOperatorState(now)
 		}
 		return
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -27,8 +27,8 @@
 	// initialViewTimeout is how long a starting node waits for the list of all records before it reads its own one.
 	initialViewTimeout = 600 * time.Millisecond
 	// firstHeartbeatWait is how long a starting node without a record waits for its target's first heartbeat, which spares one of two
-	// writes. Heartbeats are sent about once a second.
-	firstHeartbeatWait = 1200 * time.Millisecond
+	// writes. Only nodes with a record are polled.
+	firstHeartbeatWait = 400 * time.Millisecond
 	// replyTimeout bounds how long a heartbeat waits for the control goroutine. The target times out after 1 s.
 	replyTimeout = 700 * time.Millisecond
 )
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/event"
@@ -88,13 +86,15 @@
 // refresh periodically confirms leadership and reads the operator's objects while this node is the leader, because a watch
 // may miss changes.
 func (c *coordinator) refresh(ctx context.Context) {
-	for first := true; first || sleep(ctx, refreshInterval); first = false {
+	for round := 0; round == 0 || sleep(ctx, refreshInterval); round++ {
 		readCtx, cancel := context.WithTimeout(ctx, refreshTimeout)
 		var group sync.WaitGroup
 		var configErr, evacuationErr error
 		group.Go(func() { c.confirmLeadership(readCtx) })
 		group.Go(func() { configErr = c.fetchConfig(readCtx) })
-		group.Go(func() { evacuationErr = c.fetchEvacuations(readCtx) })
+		if round%evacuationRefreshRounds == 0 {
+			group.Go(func() { evacuationErr = c.fetchEvacuations(readCtx) })
+		}
 		group.Wait()
 		cancel()
 		c.post(func(now clock.Instant) {
@@ -135,16 +135,6 @@
 	return err
 }
 
-// loadInitialConfig reads the configuration at the start, so that the node can serve before the leader polls it.
-func (n *node) loadInitialConfig(ctx context.Context) {
-	sleep(ctx, time.Duration(rand.Int64N(int64(startJitter))))
-	for n.state.config.Load() == nil && n.fetchConfig(ctx) != nil {
-		if !sleep(ctx, storeRetryDelay+time.Duration(rand.Int64N(int64(storeRetryDelay)))) {
-			return
-		}
-	}
-}
-
 // applyConfig applies a configuration unless it is older than the current one.
 func (n *node) applyConfig(o store.Object) {
 	n.applyMu.Lock()
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -104,7 +104,6 @@
 	}
 	go n.controlLoop(workCtx)
 	go n.supervise(workCtx, "initial view", n.loadInitialView)
-	go n.supervise(workCtx, "initial configuration", n.loadInitialConfig)
 	go n.lines.reportDropped(workCtx)
 	go n.supervise(workCtx, "idle connections", n.entrance.idle.closeExpired)
 	go n.handleHangups(workCtx)
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -45,6 +45,8 @@
 	// configFetchTimeout is how long a node receives no poll before it reads the operator's objects itself. Polls arrive at most
 	// pollInterval and controlTick apart, and a configuration has to be applied within 2 s.
 	configFetchTimeout = 1450 * time.Millisecond
+	// evacuationRefreshRounds is the number of such reads for one of the evacuated zones, which has 5 s to take effect.
+	evacuationRefreshRounds = 2
 	// refreshTimeout bounds the leader's reads of the operator's objects. After that the nodes read them themselves.
 	refreshTimeout = 600 * time.Millisecond
 	// operatorFetchInterval is the time between two such reads of a node, and operatorFetchBackoff that after a failed one.
@@ -59,6 +61,8 @@
 	electionTimeout = 2500 * time.Millisecond
 	// electionJitter is the maximum random delay added to electionTimeout, so that nodes do not campaign at the same time.
 	electionJitter = 800 * time.Millisecond
+	// firstPollWait is how long after its start a node of a new fleet waits for its first poll, which carries the configuration.
+	firstPollWait = 3 * time.Second
 	// firstElectionSpread multiplies electionJitter while the fleet has no targets: all nodes start at once, and most hear from the
 	// first leader before they ask the store for it.
 	firstElectionSpread = 3
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -64,7 +64,9 @@
 		sent := n.clock.Now()
 		v, err := n.listView(ctx)
 		if err == nil && len(v.Tables) > 0 {
-			err = n.fetchEvacuations(ctx) // The fleet has run before, and a zone may be evacuated.
+			// The fleet has run before: callers may come at once, and a zone may be evacuated. The first poll makes up for a failed read,
+			// which observeStoreCall logs.
+			_, _ = n.fetchConfig(ctx), n.fetchEvacuations(ctx)
 		}
 		if err == nil {
 			n.post(func(now clock.Instant) {
