Take requests back that wait for a full link when their callers leave

Ruled out: the receiving node, which starts no request whose cancellation has arrived with it (TestCancelledBeforeItIsReadNeverRuns). Change: a client takes at most 32 KiB at a time from the outbox; frames of a cancelled request whose head was not taken are removed, and the request counts as not sent (ErrWithdrawn), which says nothing of the other host. Measured: TestRequestsThatWaitForTheLinkAreWithdrawn failed before (20 of 20 requests: "request was not sent" is not in the error chain) and passes.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
 
@@ -82,6 +83,9 @@
 	if err != nil {
 		call.stop()
 		call.abort(err)
+		if call.withdrawn.Load() {
+			return nil, notSent(fmt.Errorf("%w: %w", ErrWithdrawn, err))
+		}
 		return nil, fmt.Errorf("relay: no answer from %s: %w", address, err)
 	}
 	return &Response{Head: response, Body: call}, nil
@@ -120,6 +124,8 @@
 	stream *stream
 	stop   func() bool // only for the goroutine that called Do
 	once   sync.Once
+	// withdrawn is set if the request was taken back before its head was sent.
+	withdrawn atomic.Bool
 }
 
 // Read returns bytes of the answer.
@@ -144,12 +150,19 @@
 	c.once.Do(func() {
 		// The identity is settled after fail, which passes the lock that start holds.
 		c.stream.fail(err)
-		if c.conn.remove(c.stream.id) {
+		if c.conn.remove(c.stream.id) && !c.withdraw() {
 			_ = c.conn.out.control(frame{kindCancel, c.stream.id, nil}) // A lost connection cancels by itself.
 		}
 	})
 }
 
+// withdraw takes the request back if the connection has not sent its head yet.
+func (c *call) withdraw() bool {
+	withdrawn := c.conn.out.withdraw(c.stream.id)
+	c.withdrawn.Store(withdrawn)
+	return withdrawn
+}
+
 // sendBody sends a body that is in memory at once, and any other one from a goroutine, because the
 // answer may arrive before the body ends.
 func (c *call) sendBody(body io.Reader) {
--- a/internal/relay/clientconn.go
+++ b/internal/relay/clientconn.go
@@ -243,7 +243,7 @@
 		case <-c.done:
 			return
 		}
-		data, err := c.out.take()
+		data, err := c.out.take(maxTaken)
 		if err == nil && len(data) > 0 {
 			_, err = c.net.Write(data)
 		}
--- a/internal/relay/outbox.go
+++ b/internal/relay/outbox.go
@@ -11,6 +11,9 @@
 	softPending = 1 << 20
 	// hardPending bounds what control frames, which never wait, may add for a peer that reads nothing.
 	hardPending = softPending + 2<<20
+	// maxTaken is the number of bytes after which a client stops taking, at the end of a frame. What has been taken can't be withdrawn
+	// any more.
+	maxTaken = 32 << 10
 )
 
 // outbox collects frames until the connection writes them, several at a time under load.
@@ -102,24 +105,61 @@
 	return nil
 }
 
-// take returns the collected bytes, or nothing. They are valid until the next call.
-func (o *outbox) take() ([]byte, error) {
+// take returns collected bytes, or nothing. They are valid until the next call. It ends with the frame that reaches the limit, and asks
+// for another call if it leaves some.
+func (o *outbox) take(limit int) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.scheduled = false
 	if o.err != nil {
+		o.scheduled = false
 		return nil, o.err
 	}
-	taken := o.pending
 	o.used = true
-	o.pending = o.spare[:0]
-	o.spare = taken
+	end := len(o.pending)
+	if end > limit {
+		for end = 0; end < limit; {
+			end += frameSize(o.pending[end:])
+		}
+	}
+	taken := o.pending[:end]
+	rest := o.pending[end:]
+	o.pending, o.spare = append(o.spare[:0], rest...), o.pending[:0]
+	o.scheduled = len(rest) > 0
 	if len(taken) > 0 {
 		o.drained.Broadcast()
 	}
+	if o.scheduled {
+		o.kick()
+	}
 	return taken, nil
 }
 
+// frameSize returns the size of the whole frame at the start of data.
+func frameSize(data []byte) int {
+	return headerSize + (int(data[5])<<16 | int(data[6])<<8 | int(data[7]))
+}
+
+// withdraw removes the frames of a stream and reports whether the peer gets none of them, because its head had not been taken.
+func (o *outbox) withdraw(id uint32) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	withdrawn := false
+	kept := o.pending[:0]
+	for rest := o.pending; len(rest) > 0; {
+		size := frameSize(rest)
+		f, _, _ := parse(rest[:size]) // add has written whole frames.
+		if f.stream == id && (f.kind == kindRequest || f.kind == kindBodiless) {
+			withdrawn = true
+		}
+		if !withdrawn || f.stream != id {
+			kept = append(kept, rest[:size]...)
+		}
+		rest = rest[size:]
+	}
+	o.pending = kept
+	return withdrawn
+}
+
 // trim frees the buffers of a connection that sent nothing since the last call. Buffers that are
 // kept under load save most of the allocations of large bodies.
 func (o *outbox) trim() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,6 +49,8 @@
 var (
 	// ErrNotSent means that no byte of the request was handed to the connection.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrWithdrawn means that the request was given up while it waited for the connection to send. It comes with ErrNotSent.
+	ErrWithdrawn = errors.New("request was withdrawn before it was sent")
 	// ErrTruncated means that the answer ended before it was whole.
 	ErrTruncated = errors.New("answer was truncated")
 )
--- a/internal/relay/serverconn.go
+++ b/internal/relay/serverconn.go
@@ -92,7 +92,7 @@
 		return nil
 	}
 	c.unsent.Store(1) // Keeps Close from seeing nothing between the two buffers.
-	data, err := c.out.take()
+	data, err := c.out.take(hardPending)
 	if err != nil {
 		return err
 	}
@@ -132,7 +132,7 @@
 }
 
 func (c *serverConn) receiveForStream(f frame) error {
-	if f.stream > c.last {
+	if f.stream > c.last && f.kind != kindReset { // The reset may cross the withdrawal of the stream.
 		return badFrame("stream %d was not started", f.stream)
 	}
 	c.mu.Lock()
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -243,6 +243,10 @@
 	} else {
 		res, load = e.sendRemote(ctx, x, t, head)
 	}
+	if errors.Is(res.err, relay.ErrWithdrawn) { // It waited for this host's link, which says nothing of the other host.
+		e.pool.RecordResponse(e.clock.Now(), t.Host, nil)
+		return &result{refusal: contextRefusal(ctx)}
+	}
 	if errors.Is(res.err, relay.ErrNotSent) {
 		return &result{refusal: e.refuseNotSent(ctx, t, now)}
 	}
