--- a/internal/relay/withdraw_test.go
+++ b/internal/relay/withdraw_test.go
@@ -79,15 +79,21 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var group sync.WaitGroup
+	// Large requests fill the link until some of their bytes wait in the outbox, far fewer than make senders wait.
 	body := make([]byte, 200<<10)
-	const large = 60 // more than the buffers of the kernel take
-	for range large {
+	waiting := func() bool {
+		p := client.pool(server.address)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.conns) > 0 && p.conns[0].out.size() > 0
+	}
+	for full := false; !full; full = waiting() {
 		group.Go(func() {
 			head := &wire.RequestHead{Key: "large", ContentLength: int64(len(body))}
 			_, _ = client.Do(ctx, server.address, &Request{Head: head, Body: bytes.NewReader(body)})
 		})
+		time.Sleep(20 * time.Millisecond)
 	}
-	time.Sleep(300 * time.Millisecond) // The link is full now.
 	gaveUp, leave := context.WithTimeout(ctx, 100*time.Millisecond)
 	defer leave()
 	for range 20 {
