Keep a node within its memory, and drop requests whose callers left before they were read

A node that had stood still sent on requests whose callers had closed meanwhile, which net/http notices only after the handler has begun. Ruled out: buffers of targets' answers, which are bounded now. Nodes with the same view share one encoding. The entrance looks at the socket for the caller's close before it forwards.

--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -36,6 +36,8 @@
 	StoreSilentMs int64 `json:"store_silent_ms,omitempty"`
 	// View is set if the view of the node is older. It has only the newer objects.
 	View *View `json:"view,omitempty"`
+	// EncodedView takes the place of View at the sender, so that nodes with the same view share one encoding.
+	EncodedView json.RawMessage `json:"-"`
 	// Quarantine lists the fingerprints of requests that crash targets.
 	Quarantine []uint64 `json:"quarantine,omitempty"`
 }
@@ -106,7 +108,18 @@
 }
 
 // Encode returns the JSON encoding of the poll.
-func (p *Poll) Encode() []byte { return mustEncode(p) }
+func (p *Poll) Encode() []byte {
+	data := mustEncode(p)
+	if p.EncodedView == nil {
+		return data
+	}
+	data = append(data[:len(data)-1], `,"view":`...) // A poll has fields that are never omitted.
+	data = append(data, p.EncodedView...)
+	return append(data, '}')
+}
+
+// Encode returns the JSON encoding of the view.
+func (v *View) Encode() []byte { return mustEncode(v) }
 
 // Encode returns the JSON encoding of the report.
 func (r *Report) Encode() []byte { return mustEncode(r) }
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -28,7 +28,9 @@
 	// RelayPorts are the first and the last port that nodes may use between themselves.
 	RelayPorts []int `yaml:"relay_ports" validate:"len=2,dive,gt=0,lt=65536"`
 	// LinkMbps is the rate of the host's network link in megabits a second, 0 if it is not known.
-	LinkMbps float64       `yaml:"link_mbps" validate:"gte=0"`
+	LinkMbps float64 `yaml:"link_mbps" validate:"gte=0"`
+	// MemoryMB is the memory that the process may use, in megabytes, 0 if it is not known.
+	MemoryMB float64       `yaml:"memory_mb" validate:"gte=0"`
 	Listen   SidecarListen `yaml:"listen"`
 	Store    SidecarStore  `yaml:"store"`
 	// Bounds are the platform's bounds by its own names; package platform reads them.
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -54,7 +54,10 @@
 	operatorUnread bool
 	history        *fleet.History
 	polledNodes    map[string]*polledNode
-	revokedSince   map[keyspace.Owner]clock.Instant
+	// encodings holds the encoded changes of the view encodedOf by the stamp that they start from.
+	encodings    map[uint64][]byte
+	encodedOf    *fleet.View
+	revokedSince map[keyspace.Owner]clock.Instant
 	// rebalancedAt holds, by service, when ranges were last moved to balance load.
 	rebalancedAt map[string]clock.Instant
 	// tableWrittenAt holds, by service, when its table was last written. planScheduled is set while a plan waits for the next write.
@@ -299,7 +302,7 @@
 		p.EvacuatedZones = append(p.EvacuatedZones, zone)
 	}
 	if n.viewStamp < stamp {
-		p.View = c.history.Since(v, n.viewStamp)
+		p.EncodedView = c.encodedView(v, n.viewStamp)
 	}
 	if n.Report != nil && (t.State == fleet.Serving || t.State == fleet.Leaving) && !c.revokeAttempted[t.Owner()] {
 		p.Term, p.ProcessID, p.LastReportSentAt = t.Term, n.Report.ProcessID, n.Report.SentAt
@@ -309,6 +312,19 @@
 	return p
 }
 
+// encodedView returns the encoding of what is newer in the view than the stamp. Most nodes have the same stamp.
+func (c *coordinator) encodedView(v *fleet.View, stamp uint64) []byte {
+	if c.encodedOf != v {
+		c.encodedOf, c.encodings = v, map[uint64][]byte{}
+	}
+	data, ok := c.encodings[stamp]
+	if !ok {
+		data = c.history.Since(v, stamp).Encode()
+		c.encodings[stamp] = data
+	}
+	return data
+}
+
 func (c *coordinator) sendPoll(now clock.Instant, n *polledNode, t *fleet.Target, p *fleet.Poll) {
 	n.pollPending, n.pollSentAt = true, now
 	round := c.round
--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -26,6 +26,8 @@
 	// minRetryAfter is the lower bound of Retry-After, quarantineRetryAfter the value for quarantined requests.
 	minRetryAfter        = 50 * time.Millisecond
 	quarantineRetryAfter = time.Second
+	// memoryRetryAfter is the Retry-After time while the node lacks memory.
+	memoryRetryAfter = time.Second
 	// retryAfterJitterDivisor sets the jitter of Retry-After: up to 1/retryAfterJitterDivisor of the value is added at random.
 	retryAfterJitterDivisor = 4
 	// startupRetryAfter is the Retry-After of requests that arrive before the node has a configuration or with too little
@@ -147,6 +149,13 @@
 	if e.state.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if callerLeft(r.Context()) { // The request waited to be read for longer than its caller waits.
+		e.metrics.countRefusal("entrance", "caller_left")
+		e.lines.logLimited(func(l *logger) {
+			event.CallerDisconnected.On(l).Str("reason", "left before the request was read").Send()
+		})
+		panic(http.ErrAbortHandler)
+	}
 	x, refused := e.parseRequest(now, w, r)
 	if refused != nil {
 		e.writeRefusal(w, x, refused)
@@ -178,6 +187,9 @@
 	if config == nil {
 		return x, &refusal{answer.NoOwner, startupRetryAfter, "no_configuration"}
 	}
+	if e.memory.shedding.Load() {
+		return x, &refusal{answer.Shed, memoryRetryAfter, "memory"}
+	}
 	x.route = config.Match(r.Host, r.URL.EscapedPath())
 	if x.route == nil {
 		return x, &refusal{answer.NoRule, 0, "no_route"}
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -3,11 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -109,6 +113,30 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// callerLeft reports whether the caller has closed the connection on which the request arrived. net/http notices that only after the
+// handler has begun.
+func callerLeft(ctx context.Context) bool {
+	sniffed, ok := ctx.Value(connKey{}).(*sniffConn)
+	if !ok {
+		return false
+	}
+	c, ok := sniffed.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true // The connection is closed.
+	}
+	left := false
+	var next [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		left = n == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
+	})
+	return left || err != nil
+}
+
 // ambiguousLength reports whether a request on the connection had both Content-Length and Transfer-Encoding.
 func ambiguousLength(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(*sniffConn)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -50,6 +50,7 @@
 	state    *state
 	upstream *upstream.Client
 	relay    *relay.Client
+	memory   *memoryGuard
 
 	// processIncarnation is a random number that distinguishes this process from earlier ones on the host.
 	processIncarnation uint64
@@ -94,6 +95,7 @@
 		case event := <-n.controlEvents:
 			n.runControlEvent(event)
 		case <-ticker.C:
+			n.memory.update(n.log, n.memory.usedBytes())
 			n.runControlEvent(n.member.tick)
 			n.runControlEvent(n.coordinator.tick)
 		case <-ctx.Done():
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -71,6 +71,7 @@
 		upstream: upstream.NewClient(s.Target), relay: relay.NewClient(relay.ClientOptions{Secret: relaySecret}),
 		controlEvents: make(chan func(clock.Instant), controlQueueSize), ctx: context.Background(),
 	}
+	n.memory = newMemoryGuard(s.MemoryMB)
 	n.store = platform.NewStore(s.Store.Address, n.observeStoreCall)
 	n.gate = newGate(n)
 	n.entrance = newEntrance(n)
@@ -92,6 +93,7 @@
 	workCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n.ctx = workCtx
+	n.memory.limitCollector()
 	event.SidecarStarted.On(n.log).Str("version", buildinfo.Version()).Str("host", n.settings.Host).Str("zone", n.settings.AvailabilityZone).
 		Str("service", n.settings.Service).Str("relay", n.settings.Relay()).Send()
 	relayServer, err := relay.Listen(relay.ServerOptions{Address: n.settings.Relay(), Secret: relaySecret, Handler: n.gate, Logger: n.log})
