Let a coordinator that can't read the operator's objects ask a few nodes

Change: such a coordinator asks three nodes in turn, as for its probes of the store; they report newer evacuations and the version of a newer configuration, and its polls spread them.

--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -28,8 +28,8 @@
 	// EvacuatedZones lists the zones that were out of service at EvacuatedRevision, a revision of the store.
 	EvacuatedZones    []string `json:"evacuated,omitempty"`
 	EvacuatedRevision uint64   `json:"evacuated_at,omitempty"`
-	// OperatorUnread means that the coordinator can't read the configuration and the evacuations, so that the nodes read
-	// them themselves.
+	// OperatorUnread means that the coordinator can't read the configuration and the evacuations, so that the node reads
+	// them and reports what is newer.
 	OperatorUnread bool `json:"operator_unread,omitempty"`
 	// StoreSilentMs is the time in milliseconds for which the store has not answered the coordinator. If it is set,
 	// the node tries the store itself.
@@ -49,6 +49,9 @@
 	ViewVersion uint64 `json:"stamp"`
 	// ConfigVersion is the store version of the configuration of the node, 0 if it has none.
 	ConfigVersion uint64 `json:"config,omitempty"`
+	// EvacuatedZones and EvacuatedRevision are set if the node has read the evacuated zones later than the coordinator.
+	EvacuatedZones    []string `json:"evacuated,omitempty"`
+	EvacuatedRevision uint64   `json:"evacuated_at,omitempty"`
 	// ProcessID is a random number that identifies the process of the node. SentAt is the time of the report on the
 	// clock of the node.
 	ProcessID uint64 `json:"process"`
--- a/internal/placement/played_test.go
+++ b/internal/placement/played_test.go
@@ -85,7 +85,7 @@
 	nextKey func(now clock.Instant) int
 	// beforeStep is called at each step, if set.
 	beforeStep func(now clock.Instant)
-	moves   int
+	moves      int
 	// inTime and total count requests by the second of their arrival.
 	inTime, total map[int]int
 }
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -50,8 +50,10 @@
 	// previousLeaseEnd is when the leadership lease of the previous leader has expired at the latest.
 	previousLeaseEnd clock.Instant
 	outage           storeOutage
-	// operatorUnread is set while the leader can't read the operator's objects.
+	// operatorUnread is set while the leader can't read the operator's objects. reportedConfig is the highest configuration version that
+	// a node has reported meanwhile.
 	operatorUnread bool
+	reportedConfig uint64
 	history        *fleet.History
 	polledNodes    map[string]*polledNode
 	// encodings holds the encoded changes of the view encodedOf by the stamp that they start from.
@@ -268,9 +270,9 @@
 		}
 		n.operatorStamp = operator
 		p := c.newPoll(now, n, t, v, stamp)
-		if outage := c.outage.duration(now); outage > 0 && probes < storeProbesPerRound {
+		if outage := c.outage.duration(now); (outage > 0 || c.operatorUnread) && probes < storeProbesPerRound {
 			probes++ // Map iteration order is random, so each round asks other nodes.
-			p.StoreSilentMs = outage.Milliseconds()
+			p.StoreSilentMs, p.OperatorUnread = outage.Milliseconds(), c.operatorUnread
 		}
 		c.sendPoll(now, n, t, p)
 	}
@@ -283,7 +285,7 @@
 
 // operatorStamp returns a value that changes with the configuration and the evacuated zones.
 func (c *coordinator) operatorStamp() uint64 {
-	stamp := c.state.configVersion.Load()
+	stamp := max(c.state.configVersion.Load(), c.reportedConfig)
 	for zone, since := range *c.state.evacuated.Load() {
 		stamp += uint64(since) + uint64(len(zone))
 	}
@@ -296,7 +298,7 @@
 // newPoll returns the next poll for a node, with the view changes that it has not seen and the renewal of its lease.
 func (c *coordinator) newPoll(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View, stamp uint64) *fleet.Poll {
 	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Epoch: c.round, Quarantine: c.quarantine,
-		EvacuatedRevision: c.state.evacuatedRevision.Load(), OperatorUnread: c.operatorUnread}
+		EvacuatedRevision: c.state.evacuatedRevision.Load()}
 	c.announceConfig(p, n)
 	for zone := range *c.state.evacuated.Load() {
 		p.EvacuatedZones = append(p.EvacuatedZones, zone)
@@ -358,6 +360,7 @@
 	n.Report, n.LastSeen = r, now
 	c.outage.recordOtherAnswer(now, time.Duration(r.StoreAgeMs)*time.Millisecond)
 	c.countCrashes(r)
+	c.recordReportedOperatorState(now, r)
 	if own := r.Record; own != nil {
 		if old := c.state.view.Load().Targets[own.Host]; old != nil && old.Version < own.Version {
 			c.installView(now, c.state.view.Load().WithTarget(own)) // A watch may miss changes.
--- a/internal/sidecar/lead.go
+++ b/internal/sidecar/lead.go
@@ -159,7 +159,7 @@
 	c.revokeAttempted = map[keyspace.Owner]bool{}
 	c.expectedDemand = nil
 	c.crashCounts = map[uint64]map[string]int{}
-	c.operatorUnread = false
+	c.operatorUnread, c.reportedConfig = false, 0
 	event.LeadershipAcquired.On(c.log).Uint64("round", round).Uint64("revision", v.Revision).Send()
 	c.installView(now, c.state.view.Load().Merge(v))
 	go c.supervise(ctx, "fleet watch", func(ctx context.Context) { c.watchFleet(ctx, v.Revision) })
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -448,7 +448,6 @@
 		ProcessID:       m.processIncarnation,
 		SentAt:          int64(now),
 		ViewVersion:     m.state.view.Load().LatestVersion(),
-		ConfigVersion:   m.state.configVersion.Load(),
 		LeaseMs:         m.holder.Remaining(now).Milliseconds(),
 		NextHeartbeatMs: lastAt.Add(m.settings.HeartbeatInterval()).Sub(now).Milliseconds(),
 		ColdRemainingMs: max(0, (last.ColdRemaining - now.Sub(lastAt)).Milliseconds()),
@@ -462,6 +461,7 @@
 	if !m.state.viewLoaded.Load() || m.coordinator.needsFullView {
 		r.ViewVersion = 0 // Makes the leader send the full view.
 	}
+	m.coordinator.addOperatorState(r)
 	_, r.ServiceTimes = m.gate.dispatch.Stats()
 	r.Demand, r.RangeDemands = m.gate.demand.Report(now, rows)
 	return r
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -24,18 +24,24 @@
 	} else if p.ConfigVersion > c.state.configVersion.Load() {
 		c.fetchAnnouncedConfig(now)
 	}
-	if p.EvacuatedRevision > c.state.evacuatedRevision.Load() {
-		zones := make([]store.Change, len(p.EvacuatedZones))
-		for i, zone := range p.EvacuatedZones {
-			zones[i].Name = zone
-		}
-		c.applyEvacuations(zones, p.EvacuatedRevision, true)
-	}
+	c.applyToldEvacuations(p.EvacuatedZones, p.EvacuatedRevision)
 	if p.OperatorUnread {
 		c.fetchOperatorState(now)
 	}
 }
 
+// applyToldEvacuations applies the evacuated zones that another node has read at the revision, if that is later.
+func (n *node) applyToldEvacuations(zones []string, revision uint64) {
+	if revision <= n.state.evacuatedRevision.Load() {
+		return
+	}
+	changes := make([]store.Change, len(zones))
+	for i, zone := range zones {
+		changes[i].Name = zone
+	}
+	n.applyEvacuations(changes, revision, true)
+}
+
 // fetchAnnouncedConfig reads the configuration whose version the leader has announced.
 func (c *coordinator) fetchAnnouncedConfig(now clock.Instant) {
 	if c.fetchingConfig {
@@ -57,7 +63,7 @@
 
 // announceConfig adds the configuration to a poll for a node that has an older one.
 func (c *coordinator) announceConfig(p *fleet.Poll, n *polledNode) {
-	p.ConfigVersion = c.state.configVersion.Load()
+	p.ConfigVersion = max(c.state.configVersion.Load(), c.reportedConfig)
 	if document := c.state.configDocument.Load(); document != nil && document.Version == p.ConfigVersion && len(document.Value) <= maxPolledConfigBytes &&
 		n.Report != nil && n.Report.ConfigVersion < p.ConfigVersion {
 		p.Config = document.Value
@@ -75,14 +81,38 @@
 		if err == nil {
 			err = c.fetchEvacuations(ctx)
 		}
-		return func(clock.Instant) {
+		return func(after clock.Instant) {
 			if err != nil {
 				c.nextOperatorFetch = now.Add(operatorFetchBackoff)
 			}
+			if c.state.configVersion.Load() > c.announcedConfig.Load() || c.state.evacuatedRevision.Load() > c.lastPoll.EvacuatedRevision {
+				c.sendReport(c.member.buildReport(after))
+			}
 		}
 	})
 }
 
+// addOperatorState adds what this node knows of the operator's objects to a report for the leader.
+func (c *coordinator) addOperatorState(r *fleet.Report) {
+	r.ConfigVersion = c.state.configVersion.Load()
+	if revision := c.state.evacuatedRevision.Load(); revision > c.lastPoll.EvacuatedRevision {
+		r.EvacuatedRevision = revision
+		r.EvacuatedZones = slices.Sorted(maps.Keys(*c.state.evacuated.Load()))
+	}
+}
+
+// recordReportedOperatorState takes over what a node has read later than this leader, which can't read it at the moment.
+func (c *coordinator) recordReportedOperatorState(now clock.Instant, r *fleet.Report) {
+	if !c.operatorUnread {
+		return
+	}
+	c.applyToldEvacuations(r.EvacuatedZones, r.EvacuatedRevision)
+	if r.ConfigVersion > max(c.state.configVersion.Load(), c.reportedConfig) {
+		c.reportedConfig = r.ConfigVersion
+		c.pollAll(now)
+	}
+}
+
 // refresh periodically confirms leadership and reads the operator's objects while this node is the leader, because a watch
 // may miss changes.
 func (c *coordinator) refresh(ctx context.Context) {
@@ -100,6 +130,9 @@
 		c.post(func(now clock.Instant) {
 			if c.isLeader && ctx.Err() == nil {
 				c.operatorUnread = configErr != nil || evacuationErr != nil
+				if !c.operatorUnread {
+					c.reportedConfig = 0
+				}
 				c.pollAll(now)
 			}
 		})
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -115,3 +115,22 @@
 	require.Empty(t, poll(7, 100).Config, "the node has it")
 	require.Empty(t, poll(8, 100).Config, "the node has a later one")
 }
+
+// Guards against a leader that can't read the operator's objects and keeps back what other nodes have read, and against one that can
+// and believes an odd report.
+func TestLeaderTakesOverReportedOperatorState(t *testing.T) {
+	for _, unread := range []bool{false, true} {
+		n := newIdleNode(t)
+		c := n.coordinator
+		c.isLeader, c.operatorUnread, c.history = true, unread, fleet.NewHistory()
+		node := &polledNode{}
+		c.polledNodes = map[string]*polledNode{"other": node}
+		c.crashCounts = map[uint64]map[string]int{}
+		c.handleReport(n.clock.Now(), &fleet.Report{Host: "other", ConfigVersion: 9, EvacuatedZones: []string{"z"}, EvacuatedRevision: 20}, false)
+		_, evacuated := n.state.evacuatedSince("z")
+		require.Equal(t, unread, evacuated)
+		p := &fleet.Poll{}
+		c.announceConfig(p, node)
+		require.Equal(t, unread, p.ConfigVersion == 9)
+	}
+}
