--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -24,7 +24,7 @@
 	n.state.config.Store(config)
 	reason := func() string {
 		r := httptest.NewRequest(http.MethodGet, "http://"+standin.Host+"/p/x", nil)
-		r.Header.Set("Shard-Key", "1")
+		r.Header = standin.KeyedHeader("m1", 1)
 		_, refused := n.entrance.parseRequest(n.clock.Now(), httptest.NewRecorder(), r)
 		if refused == nil {
 			return ""
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -103,7 +103,10 @@
 					return // Nothing listens any more.
 				}
 				id := fmt.Sprintf("once-stop-%d-%d", i, n)
-				_, err = fmt.Fprintf(c, "GET /o/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nShard-Key: %d\r\nDeadline-Ms: 2500\r\n\r\n", standin.Host, id, n*997%65536)
+				request, err := http.NewRequest(http.MethodGet, "http://"+standin.Host+"/o/x", nil)
+				require.NoError(t, err)
+				request.Header = standin.KeyedHeader(id, n*997%65536)
+				err = request.Write(c)
 				if err == nil {
 					var response *http.Response
 					if response, err = http.ReadResponse(bufio.NewReader(c), nil); err == nil {
