Guard the reads of a refresh, and take the announced version from the last poll

Read as a newcomer: the three reads of a refresh run in goroutines of their own, whose panics supervise does not see; announcedConfig stood beside the same field of the last poll. No decision changes.

--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/citronvane/citronvane/internal/clock"
@@ -30,9 +29,8 @@
 	fetchingConfig bool
 	// needsFullView is set when the last view delta did not apply to the local view.
 	needsFullView bool
-	// configFetchedAt is when this node last read an announced configuration, announcedConfig the version announced last.
+	// configFetchedAt is when this node last read an announced configuration.
 	configFetchedAt clock.Instant
-	announcedConfig atomic.Uint64
 	// nextOperatorFetch is when this node may next read the operator's objects without an announcement.
 	nextOperatorFetch clock.Instant
 
@@ -107,7 +105,6 @@
 		c.mergeView(now, p.View)
 	}
 	c.gate.setQuarantine(p.Quarantine)
-	c.announcedConfig.Store(p.ConfigVersion)
 	c.applyOperatorState(now, p)
 	if p.StoreSilentMs > 0 {
 		c.probeStore()
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -15,7 +15,8 @@
 
 // The operator's objects, the configuration and the evacuated zones, reach the nodes through the leader: only the leader watches them,
 // and its polls carry them, so that a change costs no call to the store a node. Of a configuration above maxPolledConfigBytes they carry
-// only the version, and each node reads it. A node that is not polled, or whose leader can't read the objects, reads them itself.
+// only the version, and each node reads it. A leader that can't read the objects asks some nodes in turn to read them and to report what
+// is newer. A node that is not polled reads them itself.
 
 // applyOperatorState applies the operator's objects that the poll carries: the configuration version and the evacuated zones.
 func (c *coordinator) applyOperatorState(now clock.Instant, p *fleet.Poll) {
@@ -54,7 +55,7 @@
 		err := c.fetchConfig(ctx)
 		return func(after clock.Instant) {
 			c.fetchingConfig, c.configFetchedAt = false, after
-			if err == nil && c.announcedConfig.Load() > c.state.configVersion.Load() {
+			if err == nil && c.lastPoll.ConfigVersion > c.state.configVersion.Load() {
 				c.fetchAnnouncedConfig(after)
 			}
 		}
@@ -85,7 +86,7 @@
 			if err != nil {
 				c.nextOperatorFetch = now.Add(operatorFetchBackoff)
 			}
-			if c.state.configVersion.Load() > c.announcedConfig.Load() || c.state.evacuatedRevision.Load() > c.lastPoll.EvacuatedRevision {
+			if c.state.configVersion.Load() > c.lastPoll.ConfigVersion || c.state.evacuatedRevision.Load() > c.lastPoll.EvacuatedRevision {
 				c.sendReport(c.member.buildReport(after))
 			}
 		}
@@ -120,10 +121,11 @@
 		readCtx, cancel := context.WithTimeout(ctx, refreshTimeout)
 		var group sync.WaitGroup
 		var configErr, evacuationErr error
-		group.Go(func() { c.confirmLeadership(readCtx) })
-		group.Go(func() { configErr = c.fetchConfig(readCtx) })
+		read := func(call func()) { group.Go(func() { c.protect("refresh", call) }) }
+		read(func() { c.confirmLeadership(readCtx) })
+		read(func() { configErr = c.fetchConfig(readCtx) })
 		if round%evacuationRefreshRounds == 0 {
-			group.Go(func() { evacuationErr = c.fetchEvacuations(readCtx) })
+			read(func() { evacuationErr = c.fetchEvacuations(readCtx) })
 		}
 		group.Wait()
 		cancel()
