Take parts of the outbox without moving the rest

Since requests can be taken back, a client takes 32 KiB at a time, and each take moved up to 1 MiB of the rest. Ruled out: lost or crossed bytes (TestWithdrawalTakesWholeRequests; the test passes without load). Change: take keeps its place in the buffer and moves the rest once a megabyte.

--- a/internal/relay/outbox.go
+++ b/internal/relay/outbox.go
@@ -22,6 +22,7 @@
 	drained   sync.Cond
 	pending   []byte
 	spare     []byte
+	taken     int // bytes at the start of pending that have been taken
 	scheduled bool
 	used      bool // since the last trim
 	err       error
@@ -72,7 +73,7 @@
 
 // await waits until the connection has room, fails or the stream stops. It needs the lock.
 func (o *outbox) await(s *stream) {
-	for len(o.pending) >= softPending && o.err == nil && !s.stopped.Load() {
+	for o.waiting() >= softPending && o.err == nil && !s.stopped.Load() {
 		o.drained.Wait()
 	}
 }
@@ -80,7 +81,7 @@
 // control adds frames without waiting.
 func (o *outbox) control(frames ...frame) error {
 	o.mu.Lock()
-	if len(o.pending) >= hardPending && o.err == nil {
+	if o.waiting() >= hardPending && o.err == nil {
 		o.err = errs.New(errs.Unavailable, "Check why the peer does not read.", "relay: the peer reads nothing")
 	}
 	return o.add(frames...)
@@ -110,30 +111,38 @@
 func (o *outbox) take(limit int) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.scheduled = false
 	if o.err != nil {
-		o.scheduled = false
 		return nil, o.err
 	}
 	o.used = true
-	end := len(o.pending)
-	if end > limit {
-		for end = 0; end < limit; {
-			end += frameSize(o.pending[end:])
+	if o.taken >= softPending { // Frees what has been written, though the outbox is never empty.
+		o.pending, o.spare, o.taken = append(o.spare[:0], o.pending[o.taken:]...), o.pending, 0
+	}
+	data := o.pending[o.taken:]
+	if len(data) <= limit {
+		o.pending, o.spare, o.taken = o.spare[:0], o.pending, 0
+	} else {
+		end := 0
+		for end < limit {
+			end += frameSize(data[end:])
 		}
+		data = data[:end]
+		o.taken += end
 	}
-	taken := o.pending[:end]
-	rest := o.pending[end:]
-	o.pending, o.spare = append(o.spare[:0], rest...), o.pending[:0]
-	o.scheduled = len(rest) > 0
-	if len(taken) > 0 {
+	if len(data) > 0 {
 		o.drained.Broadcast()
 	}
-	if o.scheduled {
+	if o.waiting() > 0 {
+		o.scheduled = true
 		o.kick()
 	}
-	return taken, nil
+	return data, nil
 }
 
+// waiting returns the number of bytes that have not been taken. It needs the lock.
+func (o *outbox) waiting() int { return len(o.pending) - o.taken }
+
 // frameSize returns the size of the whole frame at the start of data.
 func frameSize(data []byte) int {
 	return headerSize + (int(data[5])<<16 | int(data[6])<<8 | int(data[7]))
@@ -144,8 +153,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	withdrawn := false
-	kept := o.pending[:0]
-	for rest := o.pending; len(rest) > 0; {
+	kept := o.pending[:o.taken]
+	for rest := o.pending[o.taken:]; len(rest) > 0; {
 		size := frameSize(rest)
 		f, _, _ := parse(rest[:size]) // add has written whole frames.
 		if f.stream == id && (f.kind == kindRequest || f.kind == kindBodiless) {
@@ -175,7 +184,7 @@
 func (o *outbox) size() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.pending)
+	return o.waiting()
 }
 
 // fail makes all later calls return err.
