--- a/internal/placement/played_test.go
+++ b/internal/placement/played_test.go
@@ -367,25 +367,34 @@
 func TestBalanceSurvivesACommonRestart(t *testing.T) {
 	const owners, restartSecond = 46, 12
 	classes := []simRequestClass{{"read", 0.67, 280 * time.Millisecond, 800 * time.Millisecond, 2}, {"order", 0.33, 360 * time.Millisecond, time.Second, 1}}
-	var before, after float64
-	for seed := range uint64(simSeeds) {
-		s := newSimulation(t, owners, classes, seed)
-		busy := busyKeys(s.random)
-		s.nextKey = func(clock.Instant) int { return busy() }
-		due := map[clock.Instant][]*simOwner{}
-		for _, o := range s.owners {
-			when := at(restartSecond).Add(time.Duration(s.random.IntN(100)) * simStep)
-			due[when] = append(due[when], o)
-		}
-		s.beforeStep = func(now clock.Instant) {
-			for _, o := range due[now] {
-				s.restart(o)
-				s.plan()
-			}
+	var befores, afters [simSeeds]float64
+	t.Run("seeds", func(t *testing.T) { // Ends when all parallel subtests have ended.
+		for seed := range simSeeds {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				s := newSimulation(t, owners, classes, uint64(seed))
+				busy := busyKeys(s.random)
+				s.nextKey = func(clock.Instant) int { return busy() }
+				due := map[clock.Instant][]*simOwner{}
+				for _, o := range s.owners {
+					when := at(restartSecond).Add(time.Duration(s.random.IntN(100)) * simStep)
+					due[when] = append(due[when], o)
+				}
+				s.beforeStep = func(now clock.Instant) {
+					for _, o := range due[now] {
+						s.restart(o)
+						s.plan()
+					}
+				}
+				s.run(owners*18*0.37/0.306, restartSecond+8)
+				befores[seed], afters[seed] = s.shareInTime(6, restartSecond), s.shareInTime(restartSecond+1, restartSecond+5)
+				t.Logf("before %.3f, after %.3f", befores[seed], afters[seed])
+			})
 		}
-		s.run(owners*18*0.37/0.306, restartSecond+8)
-		t.Logf("seed %d: before %.3f, after %.3f", seed, s.shareInTime(6, restartSecond), s.shareInTime(restartSecond+1, restartSecond+5))
-		before, after = before+s.shareInTime(6, restartSecond)/simSeeds, after+s.shareInTime(restartSecond+1, restartSecond+5)/simSeeds
+	})
+	var before, after float64
+	for seed := range simSeeds {
+		before, after = before+befores[seed]/simSeeds, after+afters[seed]/simSeeds
 	}
 	t.Logf("mean: before %.3f, after %.3f", before, after)
 	require.Greater(t, after, 0.95*before, "callers lose at most 5 in 100 in the four seconds after the restart")
