--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -47,7 +47,7 @@
 	configFetchTimeout = 1450 * time.Millisecond
 	// evacuationRefreshRounds is the number of such reads for one of the evacuated zones, which has 5 s to take effect.
 	evacuationRefreshRounds = 2
-	// refreshTimeout bounds the leader's reads of the operator's objects. After that the nodes read them themselves.
+	// refreshTimeout bounds the leader's reads of the operator's objects. After that it asks some nodes to read them.
 	refreshTimeout = 600 * time.Millisecond
 	// operatorFetchInterval is the time between two such reads of a node, and operatorFetchBackoff that after a failed one.
 	operatorFetchInterval = time.Second
