Acknowledge a departure only when it outlasts the process

Cause: Deregister acknowledged once the control goroutine had the call. With the store down the departure was in the memory of one process, and its next process used the target again. The same held for heartbeats that say draining, for revoked and down records, which never stated the departure, and for calls whose `born` names a later incarnation. Ruled out: the gate of the killed process (it had stopped), stale views of other nodes (all requests pass the gate beside the target). A node uses its target only once its record is known. TestDeregistrationBeforeFirstHeartbeatIsKept called Deregister, which now waits for the store; it calls what Deregister posts, with the same assertions.

--- a/internal/event/sidecar.go
+++ b/internal/event/sidecar.go
@@ -27,6 +27,7 @@
 	TargetExited       = register(Event{6025, log.WarnLevel, "target process exited", "Check the target's own log."})
 	RangesReleased     = register(Event{6026, log.InfoLevel, "target released ranges", ""})
 	LeaseCheckOverdue  = register(Event{6027, log.WarnLevel, "lease check is overdue", "Check the path from this host to the store."})
+	DepartureAnswered  = register(Event{6029, log.InfoLevel, "a call that says that the target leaves was answered: acknowledged if kept_by says what keeps the departure, otherwise refused", "If refused: the store and the other nodes did not answer; the target repeats the call or exits."})
 	GrantTruncated     = register(Event{6028, log.WarnLevel, "the response to a heartbeat has no room for all ranges of the target", "Add targets; the remaining ranges are not served."})
 
 	LeadershipAcquired      = register(Event{6030, log.InfoLevel, "this node became the coordinator", ""})
@@ -52,4 +53,5 @@
 	TargetRequestRefused = register(Event{6051, log.InfoLevel, "request was refused before it reached the target; it has not run", ""})
 	CrashSuspected       = register(Event{6052, log.WarnLevel, "target exited while it was running a request", "Search the log for the fingerprint."})
 	QuarantineBegan      = register(Event{6053, log.ErrorLevel, "request is quarantined because it crashes targets", "Find its caller and correct the target."})
+	DepartureUnconfirmed = register(Event{6056, log.InfoLevel, "another node did not confirm that it remembers a departure; others are asked", ""})
 )
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,6 +67,9 @@
 	// lower terms.
 	Term  uint64 `json:"term"`
 	State State  `json:"state"`
+	// Departing means that this incarnation of the target has said that it leaves. It holds in every state: a target
+	// whose term was revoked, or which is silent, may still be used again after a restart of its node.
+	Departing bool `json:"departing,omitempty"`
 	// Slots is the number of requests that the target runs at once.
 	Slots int `json:"slots"`
 	// Version is the version of the record in the store.
@@ -76,6 +79,30 @@
 // Owner returns the identity of the target as an owner of keys.
 func (t *Target) Owner() keyspace.Owner { return keyspace.Owner{Host: t.Host, Term: t.Term} }
 
+// Leaves reports whether the target has said that it leaves.
+func (t *Target) Leaves() bool { return t.Departing || t.State == Leaving }
+
+// Departure returns the departure that the record states. It is only valid if Leaves is true.
+func (t *Target) Departure() Departure {
+	return Departure{Host: t.Host, Instance: t.Instance, StartTimeMs: t.StartTimeMs}
+}
+
+// Departure says that one incarnation of a target leaves.
+type Departure struct {
+	Host     string `json:"host"`
+	Instance string `json:"instance"`
+	// StartTimeMs is the start time of the incarnation in Unix milliseconds, 0 if it is not known.
+	StartTimeMs int64 `json:"born,omitempty"`
+}
+
+// IsZero reports whether the departure names no target.
+func (d Departure) IsZero() bool { return d.Instance == "" }
+
+// Names reports whether the departure is that of the incarnation.
+func (d Departure) Names(instance string, startTimeMs int64) bool {
+	return d.Instance != "" && d.Instance == instance && (d.StartTimeMs == 0 || d.StartTimeMs == startTimeMs)
+}
+
 // Table is an assignment table with the version of its object in the store.
 type Table struct {
 	keyspace.Table
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -40,6 +40,8 @@
 	EncodedView json.RawMessage `json:"-"`
 	// Quarantine lists the fingerprints of requests that crash targets.
 	Quarantine []uint64 `json:"quarantine,omitempty"`
+	// Departures lists the leaving targets whose records in the store don't say so yet.
+	Departures []Departure `json:"departures,omitempty"`
 }
 
 // Report is the response of a node to a poll. Nodes also send it between polls.
@@ -79,6 +81,9 @@
 	Released     []Release          `json:"released,omitempty"`
 	// Crashes counts, by request fingerprint, how often the request was running when the target ended.
 	Crashes map[uint64]int `json:"crashes,omitempty"`
+	// Departures lists the leaving targets whose records in the store don't say so yet, as far as the node knows. In the
+	// answer to a report it shows which departures the receiver remembers.
+	Departures []Departure `json:"departures,omitempty"`
 }
 
 // RangeDemand is the demand for a range of keys in busy slots of the reporting target.
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -104,6 +104,7 @@
 	if p.View != nil {
 		c.mergeView(now, p.View)
 	}
+	c.learnDepartures(now, p.Departures)
 	c.gate.setQuarantine(p.Quarantine)
 	c.applyOperatorState(now, p)
 	if p.StoreSilentMs > 0 {
@@ -116,6 +117,20 @@
 	return c.member.buildReport(now)
 }
 
+// learnDepartures remembers departures that another node knows, and takes over that of the host's own target. The leader polls the hosts
+// of new ones at the next tick, because their nodes may have restarted.
+func (c *coordinator) learnDepartures(now clock.Instant, list []fleet.Departure) {
+	for _, d := range c.departures.add(now, list, c.state.view.Load()) {
+		if n := c.polledNodes[d.Host]; n != nil && c.isLeader {
+			n.operatorStamp = 0
+		}
+	}
+	if own, ok := c.departures[c.settings.Host]; ok {
+		c.member.adoptDeparture(now, own.Departure)
+		c.member.reconcile(now)
+	}
+}
+
 // mergeView merges the full or incremental view of a poll into the local view.
 func (c *coordinator) mergeView(now clock.Instant, update *fleet.View) {
 	own := c.state.view.Load()
@@ -147,7 +162,12 @@
 		c.history.Record(v)
 	}
 	if own := v.Targets[c.settings.Host]; own != nil {
-		if m := c.member; m.record != nil && own.Version > m.record.Version {
+		m := c.member
+		if own.Leaves() {
+			m.adoptDeparture(now, own.Departure())
+		}
+		m.markRecordKnown(now)
+		if m.record != nil && own.Version > m.record.Version {
 			m.record = own
 			if own.State == fleet.Revoked && own.Term == m.holder.Owner().Term {
 				m.markRevoked("revoked by the coordinator")
@@ -295,7 +315,7 @@
 // newPoll returns the next poll for a node, with the view changes that it has not seen and the renewal of its lease.
 func (c *coordinator) newPoll(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View, stamp uint64) *fleet.Poll {
 	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Epoch: c.round, Quarantine: c.quarantine,
-		EvacuatedRevision: c.state.evacuatedRevision.Load()}
+		EvacuatedRevision: c.state.evacuatedRevision.Load(), Departures: c.departures.list()}
 	c.announceConfig(p, n)
 	for zone := range *c.state.evacuated.Load() {
 		p.EvacuatedZones = append(p.EvacuatedZones, zone)
@@ -350,6 +370,7 @@
 // handleReport records a report, which answers a poll or was sent between polls. An urgent report causes a new plan at once,
 // others wait for the next tick.
 func (c *coordinator) handleReport(now clock.Instant, r *fleet.Report, urgent bool) {
+	c.learnDepartures(now, r.Departures)
 	n := c.polledNodes[r.Host]
 	if !c.isLeader || n == nil {
 		return
--- /dev/null
+++ b/internal/sidecar/departure_test.go
@@ -0,0 +1,166 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/store"
+	"github.com/citronvane/citronvane/internal/tenure"
+	"github.com/citronvane/citronvane/platform/standin"
+)
+
+// onControl runs f on the control goroutine and returns its result.
+func onControl[T any](n *node, f func(now clock.Instant) T) T {
+	reply := make(chan T, 1)
+	n.post(func(now clock.Instant) { reply <- f(now) })
+	return <-reply
+}
+
+// Guards against a departure that is acknowledged although only this process knows it: the store is down, and there is no other node.
+func TestDepartureIsNotAcknowledgedUntilItIsKept(t *testing.T) {
+	n := newIdleNode(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go n.controlLoop(ctx)
+	heartbeat := &tenure.Heartbeat{Instance: "i", StartTimeMs: 7, Sequence: 1, Service: "s", Slots: 18}
+	_, err := n.member.Heartbeat(heartbeat)
+	require.NoError(t, err)
+	require.Error(t, n.member.Deregister("i", 7), "a deregistration")
+	draining := *heartbeat
+	draining.Sequence, draining.Draining = 2, true
+	_, err = n.member.Heartbeat(&draining)
+	require.Error(t, err, "a heartbeat that says draining")
+	require.False(t, n.state.localTarget.Load().serving, "the target may not say it again, so it is not used")
+
+	n.post(func(now clock.Instant) {
+		n.member.recordLoaded = true
+		n.member.record = &fleet.Target{Host: "h", Service: "s", Instance: "i", StartTimeMs: 7, State: fleet.Leaving, Departing: true}
+	})
+	require.NoError(t, n.member.Deregister("i", 7), "the store has recorded it")
+}
+
+// Guards against a departure that was acknowledged while the store is down and is forgotten with the process that acknowledged it. The
+// target goes on sending heartbeats that say that it is ready, as one that deregisters does.
+func TestDepartureDuringAnOutageOutlastsTheProcess(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		t.Run(fmt.Sprintf("the process leads: %t", leads), func(t *testing.T) {
+			t.Parallel()
+			r := newTestFleet(t, 3)
+			var left, other *testHost
+			for _, h := range r.hosts[:3] {
+				if h.isLeader() == leads {
+					left = h
+				} else {
+					other = h
+				}
+			}
+			if left == nil {
+				left = r.hosts[0] // The leader is the node of the pooled target.
+			}
+			for _, h := range r.hosts {
+				h.storeProxy.ChangeFaults(func(f *standin.Faults) { f.Down = true })
+			}
+			require.NoError(t, left.node.member.Deregister("i-"+left.node.settings.Host, 1000))
+			r.restart(left)
+			require.Eventually(t, func() bool { return left.node.state.localTarget.Load().instance != "" }, contactTime, 20*time.Millisecond)
+			if !leads {
+				departed := func() bool {
+					return onControl(left.node, func(clock.Instant) bool { return left.node.member.isDeregistered() })
+				}
+				require.Eventually(t, departed, 4*pollInterval, 20*time.Millisecond, "other nodes told the new process")
+			}
+			for _, h := range r.hosts {
+				h.storeProxy.ChangeFaults(func(f *standin.Faults) { f.Down = false })
+			}
+			time.Sleep(contactTime)
+			require.Eventually(t, func() bool {
+				record := other.node.state.view.Load().Targets[left.node.settings.Host]
+				return record != nil && record.Leaves()
+			}, 10*time.Second, 50*time.Millisecond, "the record states the departure")
+			ran := len(r.history.ExecutedRequestIDs())
+			for i := range 200 {
+				_, _ = other.get("/k/x", fmt.Sprintf("after-%d", i), i*300)
+			}
+			require.False(t, left.node.state.localTarget.Load().serving)
+			require.Zero(t, left.target.Holds(), "it is given no keys")
+			require.Greater(t, len(r.history.ExecutedRequestIDs()), ran, "others serve")
+		})
+	}
+}
+
+// contactTime is the users' bound contact_ms: a machine is in touch this long after the end of a disturbance.
+const contactTime = 3 * time.Second
+
+// Guards against a node that starts during an outage of the store and uses a target that may have left under the process before it.
+func TestTargetIsNotUsedBeforeItsRecordIsKnown(t *testing.T) {
+	n := newIdleNode(t)
+	m, now := n.member, n.clock.Now()
+	m.handleHeartbeat(now, &tenure.Heartbeat{Instance: "i", StartTimeMs: 7, Sequence: 20, Service: "s", Slots: 18})
+	require.False(t, n.state.localTarget.Load().serving)
+	v := fleet.NewView()
+	v.Targets["h"] = &fleet.Target{Host: "h", Service: "s", Instance: "i", StartTimeMs: 7, Term: 1, State: fleet.Down, Departing: true, Version: 5}
+	n.coordinator.installView(now, v) // From a poll.
+	require.True(t, m.isDeregistered())
+	require.False(t, n.state.localTarget.Load().serving)
+}
+
+// Guards against a departure that a revocation or a silent target hides: a restarted node would take the target into service again.
+func TestDepartureIsRecordedInEveryState(t *testing.T) {
+	for _, state := range []fleet.State{fleet.Revoked, fleet.Down, fleet.Serving} {
+		n := newIdleNode(t)
+		m, now := n.member, n.clock.Now()
+		m.handleHeartbeat(now, &tenure.Heartbeat{Instance: "i", StartTimeMs: 7, Sequence: 1, Service: "s", Slots: 18})
+		m.recordLoaded = true
+		m.record = &fleet.Target{Host: "h", Relay: n.settings.Relay(), Service: "s", Instance: "i", StartTimeMs: 7, Term: 3, State: state, Slots: 18, Version: 5}
+		m.recordBusy = true // The test makes the writes.
+		m.handleDeparture(now, fleet.Departure{Host: "h", Instance: "i", StartTimeMs: 7}, func(error) {})
+		last, _ := m.holder.LastHeartbeat()
+		want := m.desiredRecord(now, last)
+		require.NotNil(t, want, state)
+		require.True(t, want.Departing, state)
+		require.Equal(t, uint64(3), want.Term, "the departure ends no term")
+		if state == fleet.Revoked {
+			require.Equal(t, fleet.Revoked, want.State, "a revoked term stays revoked")
+		}
+
+		restarted := newIdleNode(t)
+		restarted.state.viewLoaded.Store(true)
+		want.Host, want.Relay, want.Version = "h", "10.0.0.1:1", 6
+		restarted.member.handleRead(now, now, store.Object{Name: fleet.TargetName("h"), Version: 6, Value: want.Encode()}, nil)
+		restarted.member.handleHeartbeat(now, &tenure.Heartbeat{Instance: "i", StartTimeMs: 7, Sequence: 2, Service: "s", Slots: 18})
+		require.True(t, restarted.member.isDeregistered(), state)
+		require.False(t, restarted.state.localTarget.Load().serving, state)
+	}
+}
+
+// Guards against a late deregistration of an earlier incarnation, which must not end the one that is running, and against one of a later
+// incarnation whose heartbeats are late, which must not be lost.
+func TestDepartureNamesOneIncarnation(t *testing.T) {
+	n := newIdleNode(t)
+	m, now := n.member, n.clock.Now()
+	m.markRecordKnown(now)
+	answered := func(d fleet.Departure) (errs []error) {
+		m.handleDeparture(now, d, func(err error) { errs = append(errs, err) })
+		return errs
+	}
+	m.handleHeartbeat(now, &tenure.Heartbeat{Instance: "i2", StartTimeMs: 20, Sequence: 1, Service: "s", Slots: 18})
+	require.Equal(t, []error{nil}, answered(fleet.Departure{Host: "h", Instance: "i1", StartTimeMs: 10}), "it has ended")
+	require.True(t, n.state.localTarget.Load().serving)
+	unknown := answered(fleet.Departure{Host: "h", Instance: "other"})
+	require.Len(t, unknown, 1)
+	require.Error(t, unknown[0])
+	require.True(t, n.state.localTarget.Load().serving)
+
+	require.Empty(t, answered(fleet.Departure{Host: "h", Instance: "i3", StartTimeMs: 30}), "it waits until it is kept")
+	require.False(t, n.state.localTarget.Load().serving, "the incarnation before it has exited")
+	m.handleHeartbeat(now, &tenure.Heartbeat{Instance: "i3", StartTimeMs: 30, Sequence: 1, Service: "s", Slots: 18})
+	require.False(t, n.state.localTarget.Load().serving)
+	m.handleHeartbeat(now, &tenure.Heartbeat{Instance: "i4", StartTimeMs: 40, Sequence: 1, Service: "s", Slots: 18})
+	require.True(t, n.state.localTarget.Load().serving)
+}
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -46,10 +46,17 @@
 	recordBusy     bool
 	retryAt        clock.Instant
 	leaseCheckedAt clock.Instant // send time of the last lease check
-	// deregistered is the instance that has deregistered, if it is the current one or no instance is known yet.
-	deregistered string
-	// deregisteredBorn is the start time of that instance in Unix milliseconds, 0 if it is not known.
-	deregisteredBorn int64
+	// recordKnown is set once the host's record, or its absence, is known from the store or from the leader's view. Until then the
+	// target may have left under an earlier process of the node.
+	recordKnown bool
+	// departed is the departure of the target, zero if it has not deregistered. departureHolders are the relay addresses of the nodes
+	// that remember it, and departureWaits the calls that wait until it is kept.
+	departed          fleet.Departure
+	departureHolders  map[string]bool
+	departureWaits    []departureWait
+	departureSpreadAt clock.Instant
+	// departureLogged is the departure whose acknowledgement was logged last.
+	departureLogged fleet.Departure
 	// targetExited is set when the target's process is known to have exited.
 	targetExited bool
 	// connectionBroken is set when the connection to the target broke during a request.
@@ -71,7 +78,10 @@
 // Heartbeat answers a heartbeat of the target.
 func (m *member) Heartbeat(b *tenure.Heartbeat) (tenure.Grant, error) {
 	reply := make(chan tenure.Grant, 1)
-	ok := m.post(func(now clock.Instant) { reply <- m.handleHeartbeat(now, b) })
+	ok := m.post(func(now clock.Instant) {
+		grant := m.handleHeartbeat(now, b)
+		m.acknowledge(now, b, func() { reply <- grant })
+	})
 	if ok {
 		select {
 		case g := <-reply:
@@ -82,29 +92,18 @@
 	return tenure.Grant{}, errs.New(errs.Unavailable, "Send the next heartbeat.", "the node is busy or stopping")
 }
 
-// Deregister records that the target is leaving.
-func (m *member) Deregister(instance string) error {
-	m.post(func(now clock.Instant) {
-		// A node that has just started knows no instance yet, and must accept the call, because the target does not repeat it.
-		if last, _ := m.holder.LastHeartbeat(); last.Instance != "" && last.Instance != instance {
-			event.HeartbeatStale.On(m.log).Str("instance", instance).Str("call", "deregister").Send()
-			return
+// acknowledge answers a heartbeat. The answer to one that says that the target leaves is its acknowledgement, which waits until the
+// departure is kept.
+func (m *member) acknowledge(now clock.Instant, b *tenure.Heartbeat, answer func()) {
+	if last, _ := m.holder.LastHeartbeat(); !b.Draining || last.StartTimeMs != b.StartTimeMs || last.Sequence != b.Sequence {
+		answer()
+		return
+	}
+	m.handleDeparture(now, fleet.Departure{Host: m.settings.Host, Instance: b.Instance, StartTimeMs: b.StartTimeMs}, func(err error) {
+		if err == nil {
+			answer()
 		}
-		m.deregistered, m.deregisteredBorn = instance, 0
-		m.holder.StartDraining()
-		m.publishTarget(now)
-		m.reconcile(now)
 	})
-	return nil
-}
-
-// isDeregistered reports whether the target has deregistered.
-func (m *member) isDeregistered() bool {
-	last, _ := m.holder.LastHeartbeat()
-	if m.deregistered == "" || last.Instance == "" {
-		return m.deregistered != ""
-	}
-	return last.Instance == m.deregistered && (m.deregisteredBorn == 0 || m.deregisteredBorn == last.StartTimeMs)
 }
 
 // Malformed records a heartbeat that can't be decoded.
@@ -125,12 +124,16 @@
 	}
 	m.metrics.countHeartbeat("taken")
 	if last, _ := m.holder.LastHeartbeat(); last.StartTimeMs != b.StartTimeMs {
-		if last.Instance != "" {
-			m.deregistered = "" // An instance may restart under the same identity.
+		if last.Instance != "" && !m.departed.Names(b.Instance, b.StartTimeMs) {
+			m.departed = fleet.Departure{} // An instance may restart under the same identity.
 		}
 		m.upstream.Reset()
 		m.gate.recordTargetEnd(now, last.Instance)
 	}
+	if m.departed.StartTimeMs == 0 && m.departed.Names(b.Instance, b.StartTimeMs) {
+		m.departed.StartTimeMs = b.StartTimeMs
+		m.departures.add(now, []fleet.Departure{m.departed}, m.state.view.Load())
+	}
 	m.targetExited, m.connectionBroken = false, false
 	m.holder.RecordHeartbeat(now, b)
 	m.gate.dispatch.Update(func(now clock.Instant, core *dispatch.Scheduler) {
@@ -176,8 +179,10 @@
 		o.notServingReason = "the target has not reported yet"
 	case m.targetExited:
 		o.notServingReason = "the target has ended"
-	case m.isDeregistered() || last.Draining:
+	case m.isDeparting(last):
 		o.notServingReason = "the target is leaving"
+	case !m.recordKnown:
+		o.notServingReason = "the record of the host has not been read"
 	default:
 		o.serving = true
 	}
@@ -210,14 +215,29 @@
 // desiredRecord returns the record to write, or nil if the current one is right or the state of the target is not known yet.
 func (m *member) desiredRecord(now clock.Instant, last *tenure.Heartbeat) *fleet.Target {
 	state := fleet.Serving
-	if last.Draining || m.isDeregistered() {
+	if m.isDeparting(last) {
 		state = fleet.Leaving
 	}
 	if m.targetGone(now) {
 		state = fleet.Down
 	}
-	if last.Instance == "" {
-		if m.record != nil {
+	r := m.record
+	want := &fleet.Target{
+		Host: m.settings.Host, Node: m.settings.Node, Relay: m.settings.Relay(), Zone: m.settings.AvailabilityZone,
+		Service: m.settings.Service, Instance: last.Instance, StartTimeMs: last.StartTimeMs, Slots: last.Slots,
+		Departing: m.isDeparting(last),
+	}
+	switch {
+	case m.isDeregistered() && !m.departed.Names(last.Instance, last.StartTimeMs): // It has not sent a heartbeat to this process.
+		if r != nil && (m.departed.Names(r.Instance, r.StartTimeMs) && r.Leaves() || !m.departureFollows(r)) {
+			return nil
+		}
+		state, want.Instance, want.StartTimeMs = fleet.Leaving, m.departed.Instance, m.departed.StartTimeMs
+		if r != nil && m.departed.Names(r.Instance, r.StartTimeMs) {
+			want.StartTimeMs, want.Slots = r.StartTimeMs, r.Slots
+		}
+	case last.Instance == "":
+		if r != nil {
 			return nil // The record of an earlier process of the node stays until the target sends a heartbeat.
 		}
 		if now.Sub(m.startedAt) < firstHeartbeatWait {
@@ -225,15 +245,11 @@
 		}
 		state = fleet.Down // The leader only polls nodes that have a record.
 	}
-	r := m.record
-	want := &fleet.Target{
-		Host: m.settings.Host, Node: m.settings.Node, Relay: m.settings.Relay(), Zone: m.settings.AvailabilityZone,
-		Service: m.settings.Service, Instance: last.Instance, StartTimeMs: last.StartTimeMs, State: state, Slots: last.Slots,
-	}
+	want.State = state
 	switch {
 	case r == nil:
 		want.Term = m.holder.Owner().Term + 1
-	case r.StartTimeMs != last.StartTimeMs || r.Instance != last.Instance || r.Service != m.settings.Service:
+	case r.StartTimeMs != want.StartTimeMs || r.Instance != want.Instance || r.Service != m.settings.Service:
 		// Only one process at a time can bind the host's addresses, so the earlier process has exited.
 		want.Term = r.Term + 1
 	case state == fleet.Serving && (r.State != fleet.Serving || m.holder.Owner() == r.Owner() && !m.holder.Valid()):
@@ -242,11 +258,14 @@
 			return nil
 		}
 		want.Term = r.Term + 1
-	case r.State == fleet.Revoked && state != fleet.Down:
+	case r.State == fleet.Revoked && state != fleet.Down && (r.Departing || !want.Departing):
 		return nil
 	default:
 		want.Term = r.Term
-		if r.State == state && r.Relay == want.Relay && r.Slots == want.Slots {
+		if r.State == fleet.Revoked && state != fleet.Down {
+			want.State = fleet.Revoked // The departure changes nothing about the end of the term.
+		}
+		if r.State == want.State && r.Relay == want.Relay && r.Slots == want.Slots && r.Departing == want.Departing {
 			return nil
 		}
 	}
@@ -256,6 +275,12 @@
 	return want
 }
 
+// departureFollows reports whether the departure can be that of the incarnation in the record or of a later one. A call without a start
+// time that names another instance may be a late one of an earlier incarnation.
+func (m *member) departureFollows(r *fleet.Target) bool {
+	return m.departed.Names(r.Instance, r.StartTimeMs) || m.departed.StartTimeMs > r.StartTimeMs
+}
+
 // targetGone reports whether the target holds nothing for certain and its process will not return.
 func (m *member) targetGone(now clock.Instant) bool {
 	_, lastAt := m.holder.LastHeartbeat()
@@ -287,6 +312,7 @@
 			m.markRevoked("the record was deleted")
 		}
 		m.record, m.recordLoaded, m.leaseCheckedAt = nil, true, sent
+		m.markRecordKnown(now)
 	case err != nil:
 		m.retryAt = now.Add(storeRetryDelay)
 		return
@@ -302,6 +328,7 @@
 	}
 	m.reconcile(now)
 	m.publishTarget(now)
+	m.answerDepartures(now)
 }
 
 // adoptListedRecord takes the host's record from a list of all records that was sent at the instant, which saves a read at the start. An
@@ -311,15 +338,25 @@
 		return
 	}
 	m.recordLoaded, m.leaseCheckedAt = true, sent
+	m.markRecordKnown(m.clock.Now())
 	if own := v.Targets[m.settings.Host]; own != nil {
 		m.observeRecord(own, sent)
 	}
 }
 
+// markRecordKnown notes that the host's record, or its absence, is known. From then on the target may be used.
+func (m *member) markRecordKnown(now clock.Instant) {
+	if !m.recordKnown {
+		m.recordKnown = true
+		m.publishTarget(now)
+	}
+}
+
 // observeRecord applies a record that was read from the store by a call sent at the instant.
 func (m *member) observeRecord(t *fleet.Target, sent clock.Instant) {
-	if m.record == nil {
-		m.adoptDeparture(t)
+	m.markRecordKnown(m.clock.Now())
+	if t.Leaves() {
+		m.adoptDeparture(m.clock.Now(), t.Departure())
 	}
 	if m.record == nil || t.Version >= m.record.Version {
 		m.record = t
@@ -332,16 +369,6 @@
 	}
 }
 
-// adoptDeparture takes over from the record that the target has deregistered, which an earlier process of the node acknowledged. The
-// target goes on sending heartbeats until it exits, which need not say that it is leaving.
-func (m *member) adoptDeparture(t *fleet.Target) {
-	last, _ := m.holder.LastHeartbeat()
-	if t.State == fleet.Leaving && m.deregistered == "" && !last.Draining {
-		m.deregistered, m.deregisteredBorn = t.Instance, t.StartTimeMs
-		m.holder.StartDraining()
-	}
-}
-
 func (m *member) markRevoked(reason string) {
 	if m.holder.Remaining(m.clock.Now()) > 0 {
 		event.TermRevoked.On(m.log).Uint64("term", m.holder.Owner().Term).Str("why", reason).Send()
@@ -373,6 +400,7 @@
 	}
 	want.Version = version
 	m.record = want
+	m.markRecordKnown(now)
 	event.TargetStateWritten.On(m.log).Str("state", string(want.State)).Uint64("term", want.Term).Uint64("version", version).Send()
 	if want.State == fleet.Serving && m.holder.Owner() != want.Owner() {
 		m.leaseCheckedAt = sent // reconcile starts the term.
@@ -382,6 +410,7 @@
 	m.state.view.Store(m.state.view.Load().WithTarget(want))
 	m.reconcile(now)
 	m.publishTarget(now)
+	m.answerDepartures(now)
 	m.coordinator.sendReport(m.buildReport(now))
 }
 
@@ -389,6 +418,9 @@
 func (m *member) tick(now clock.Instant) {
 	m.probeTarget(now)
 	m.reconcile(now)
+	m.departures.prune(now, m.state.view.Load())
+	m.spreadDeparture(now)
+	m.answerDepartures(now)
 	if m.recordLoaded && !m.recordBusy && now >= m.retryAt && m.record != nil && m.holder.Valid() && m.holder.Remaining(now) < leaseCheckThreshold && now.Sub(m.leaseCheckedAt) >= leaseCheckInterval {
 		m.leaseCheckedAt = now
 		m.loadRecord(now)
@@ -454,6 +486,7 @@
 		Released:        m.holder.Released(now, rows),
 		Crashes:         m.gate.crashes(now),
 		Record:          m.record,
+		Departures:      m.departures.list(),
 	}
 	if at := clock.Instant(m.state.storeAnsweredAt.Load()); at > 0 {
 		r.StoreAgeMs = max(1, now.Sub(at).Milliseconds())
--- a/internal/sidecar/member_test.go
+++ b/internal/sidecar/member_test.go
@@ -37,13 +37,11 @@
 func TestDeregistrationBeforeFirstHeartbeatIsKept(t *testing.T) {
 	n := newIdleNode(t)
 	m, now := n.member, n.clock.Now()
-	runControlEvents := func() { // Store calls that complete meanwhile post their results too.
-		for len(n.controlEvents) > 0 {
-			(<-n.controlEvents)(now)
-		}
+	m.markRecordKnown(now)
+	deregister := func() { // The call itself waits until the departure is kept, for which this node has no store.
+		m.handleDeparture(now, fleet.Departure{Host: "h", Instance: "i"}, func(error) {})
 	}
-	require.NoError(t, m.Deregister("i"))
-	runControlEvents()
+	deregister()
 	require.True(t, m.isDeregistered())
 	m.handleHeartbeat(now, &tenure.Heartbeat{Instance: "i", StartTimeMs: 7, Sequence: 9, Service: "s", Slots: 18})
 	require.True(t, m.isDeregistered(), "a heartbeat that was in flight")
@@ -51,8 +49,7 @@
 	m.handleHeartbeat(now, &tenure.Heartbeat{Instance: "i", StartTimeMs: 8, Sequence: 1, Service: "s", Slots: 18})
 	require.False(t, m.isDeregistered(), "the same identity, a new process")
 	require.True(t, n.state.localTarget.Load().serving)
-	require.NoError(t, m.Deregister("i"))
-	runControlEvents()
+	deregister()
 	m.handleHeartbeat(now, &tenure.Heartbeat{Instance: "next", StartTimeMs: 9, Sequence: 1, Service: "s", Slots: 18})
 	require.False(t, m.isDeregistered(), "another process of the target")
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -57,6 +57,7 @@
 	// applyMu serializes changes of the configuration and of the evacuated zones.
 	applyMu sync.Mutex
 
+	departures    departures
 	ctx           context.Context
 	controlEvents chan func(now clock.Instant)
 	gate          *gate
@@ -142,7 +143,7 @@
 		}
 		n.post(func(now clock.Instant) {
 			n.coordinator.handleReport(now, r, true)
-			reply <- &fleet.Report{Host: n.settings.Host, CoordinatorEpoch: n.coordinator.leadershipRound()}
+			reply <- &fleet.Report{Host: n.settings.Host, CoordinatorEpoch: n.coordinator.leadershipRound(), Departures: n.departures.list()}
 		})
 	}
 	select {
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -90,7 +90,7 @@
 	view := e.state.view.Load()
 	var candidates []ingress.Candidate
 	for _, t := range view.Targets {
-		if t.Service != x.service || t.State != fleet.Serving && t.State != fleet.Revoked {
+		if t.Service != x.service || t.State != fleet.Serving && t.State != fleet.Revoked || t.Departing {
 			continue
 		}
 		if _, out := e.state.evacuatedSince(t.Zone); !out {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	n := &node{
-		settings: s, bounds: bounds, clock: clock.Boot{}, log: l, lines: newRequestLog(l, out), metrics: m, state: newState(), processIncarnation: rand.Uint64(),
+		settings: s, bounds: bounds, clock: clock.Boot{}, log: l, lines: newRequestLog(l, out), metrics: m, state: newState(), processIncarnation: rand.Uint64(), departures: departures{},
 		upstream: upstream.NewClient(s.Target), relay: relay.NewClient(relay.ClientOptions{Secret: relaySecret}),
 		controlEvents: make(chan func(clock.Instant), controlQueueSize), ctx: context.Background(),
 	}
