Notice a target that becomes cold before its next heartbeat

Cause: the node learnt of it by heartbeats only, up to 0.87 s late. The health path, which says it at once, was read for the pace only. A late heartbeat ended the limit, and requests before it did not count. TestTargetThatBecomesColdIsNoticedBeforeItsHeartbeat failed on the code before (no health check within 1 s).

--- a/internal/dispatch/controller.go
+++ b/internal/dispatch/controller.go
@@ -14,14 +14,16 @@
 	mu        sync.Mutex
 	scheduler *Scheduler
 	timer     *time.Timer
-	// probePace sends a pace probe to the target without blocking; the result arrives through Update. It may be nil.
-	probePace func()
+	// probe sends a probe of its pace and its cold period to the target without blocking; the result arrives through
+	// Update. It may be nil.
+	probe func()
 }
 
-// NewController returns a controller for a target with the given number of slots. probePace sends a pace probe to the
-// target without blocking, and the result arrives through Update; it is nil for targets that can't be probed.
-func NewController(clk clock.Clock, slots int, probePace func()) *Controller {
-	c := &Controller{clock: clk, scheduler: NewScheduler(slots), probePace: probePace}
+// NewController returns a controller for a target with the given number of slots. probe sends a probe of its pace and its
+// cold period to the target without blocking, and the result arrives through Update; it is nil for targets that can't be
+// probed.
+func NewController(clk clock.Clock, slots int, probe func()) *Controller {
+	c := &Controller{clock: clk, scheduler: NewScheduler(slots), probe: probe}
 	c.timer = time.AfterFunc(time.Hour, c.poll)
 	c.timer.Stop()
 	return c
@@ -81,6 +83,13 @@
 	return c.scheduler.Stats(c.clock.Now()), c.scheduler.ServiceTimes()
 }
 
+// ColdRemaining returns for how long the target stays cold.
+func (c *Controller) ColdRemaining() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scheduler.ColdRemaining(c.clock.Now())
+}
+
 // ExpectedDelay returns how much longer than on an idle target at its baseline pace a request would take that arrives
 // now. During a slow period it also probes the target's pace, because no other event may report that the period is
 // over.
@@ -89,14 +98,14 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	if c.scheduler.pace.slowRemaining(now) > 0 {
-		c.probe(now)
+		c.probePace(now)
 	}
 	return c.scheduler.ExpectedDelay(now, r)
 }
 
-func (c *Controller) probe(now clock.Instant) {
-	if c.probePace != nil && c.scheduler.BeginPaceProbe(now) {
-		c.probePace()
+func (c *Controller) probePace(now clock.Instant) {
+	if c.probe != nil && c.scheduler.BeginPaceProbe(now) {
+		c.probe()
 	}
 }
 
@@ -114,7 +123,10 @@
 		close(t.decided)
 	}
 	if c.scheduler.Deferring(now) {
-		c.probe(now)
+		c.probePace(now)
+	}
+	if c.probe != nil && c.scheduler.BeginColdProbe(now) {
+		c.probe()
 	}
 	if d := c.scheduler.NextPoll(now); d > 0 {
 		c.timer.Reset(d)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -22,14 +22,6 @@
 	maxHigherPriorityShare = 0.9
 	// defaultServiceShare is the service time assumed before the first response, as a share of the latency objective.
 	defaultServiceShare = 0.3
-	// coldHeadroom is the factor by which the request rate exceeds the configured rate of a cold target. The platform
-	// tolerates a factor of 1.5.
-	coldHeadroom = 1.2
-	// defaultColdRate is the rate in requests per second before the configuration is known; the platform's services
-	// sustain 16 and more.
-	defaultColdRate = 10
-	// coldBurst is the number of requests that a cold target may get at once.
-	coldBurst = 3
 	// minRetryAfterShare and maxRetryAfterShare bound the retry-after time of a refusal, as shares of the latency
 	// objective. Earlier, the queue that caused the refusal is still there; later, the response would hardly meet the
 	// caller's deadline.
@@ -118,31 +110,40 @@
 	// request gets only the rest of the slots.
 	higherPriorityShare [priorityClasses]float64
 
-	coldUntil  clock.Instant
-	coldRate   float64
-	tokens     float64
-	refilledAt clock.Instant
+	cold coldPacer
 }
 
 // NewScheduler returns a scheduler for a target with the given number of slots.
 func NewScheduler(slots int) *Scheduler {
-	return &Scheduler{slots: max(1, slots), serviceTimes: map[string]float64{}, coldRate: defaultColdRate}
+	return &Scheduler{slots: max(1, slots), serviceTimes: map[string]float64{}, cold: newColdPacer()}
 }
 
 // SetSlots changes the number of slots.
 func (c *Scheduler) SetSlots(slots int) { c.slots = max(1, slots) }
 
-// SetColdUntil sets the time until which the target is cold.
-func (c *Scheduler) SetColdUntil(now, until clock.Instant) {
-	if now >= c.coldUntil && until > now {
-		c.tokens, c.refilledAt = coldBurst, now
-	}
-	c.coldUntil = until
+// SetColdUntil sets the time until which the target is cold, as it reports it.
+func (c *Scheduler) SetColdUntil(now, until clock.Instant) { c.cold.report(now, until) }
+
+// ObserveColdProbe records the answer to a probe that was sent at the given time: for how long the target stays cold.
+func (c *Scheduler) ObserveColdProbe(now, sent clock.Instant, remaining time.Duration) {
+	c.cold.observeProbe(now, sent, remaining)
+}
+
+// ColdRemaining returns for how long the target stays cold.
+func (c *Scheduler) ColdRemaining(now clock.Instant) time.Duration {
+	return max(0, c.cold.until().Sub(now))
 }
 
+// ResetCold forgets the cold period of an earlier incarnation of the target.
+func (c *Scheduler) ResetCold() { c.cold.reset() }
+
 // SetColdRate sets the number of requests per second that a cold target sustains. Until the first call defaultColdRate
 // applies.
-func (c *Scheduler) SetColdRate(perSecond float64) { c.coldRate = perSecond * coldHeadroom }
+func (c *Scheduler) SetColdRate(perSecond float64) { c.cold.setRate(perSecond) }
+
+// BeginColdProbe reports whether the target should be probed now, because it has got more requests than it would bear if
+// it had become cold. If so, the probe counts as sent.
+func (c *Scheduler) BeginColdProbe(now clock.Instant) bool { return c.cold.beginProbe(now) }
 
 func priorityClass(priority int) int { return min(max(priority, 0), priorityClasses-1) }
 
@@ -202,7 +203,7 @@
 
 // Deferring reports whether requests are deferred because of a slow period although a slot is free.
 func (c *Scheduler) Deferring(now clock.Instant) bool {
-	return c.waiting > 0 && c.running < c.slots && c.pace.slow && c.coldAllows(now)
+	return c.waiting > 0 && c.running < c.slots && c.pace.slow && c.cold.allows(now)
 }
 
 // BeginPaceProbe reports whether the target's pace should be probed now, because the last report and the last probe are
@@ -240,20 +241,12 @@
 		}
 		wait = float64(excess) * mean / (float64(c.slots) * (1 - min(c.higherPriorityShare[priorityClass(r.Priority)], maxHigherPriorityShare)))
 	}
-	if now < c.coldUntil && c.coldRate > 0 {
-		c.refill(now)
-		if coldWait := (float64(ahead) + 1 - c.tokens) / c.coldRate; coldWait > wait {
-			wait, reason = coldWait, Cold
-		}
+	if coldWait := c.cold.wait(now, ahead); coldWait > wait {
+		wait, reason = coldWait, Cold
 	}
 	return wait, reason
 }
 
-func (c *Scheduler) refill(now clock.Instant) {
-	c.tokens = min(coldBurst, c.tokens+c.coldRate*now.Sub(c.refilledAt).Seconds())
-	c.refilledAt = now
-}
-
 // Poll starts the requests that may run and refuses those that can't be answered in time any more. It returns the
 // tickets that it decided.
 func (c *Scheduler) Poll(now clock.Instant) []*Ticket {
@@ -263,7 +256,7 @@
 			decided = append(decided, refused)
 			continue
 		}
-		if c.running >= c.slots || !c.coldAllows(now) {
+		if c.running >= c.slots || !c.cold.allows(now) {
 			break
 		}
 		t := c.takeNext(now)
@@ -273,9 +266,7 @@
 		t.started, t.running, t.slowdown = now, true, c.pace.slowdown(now)
 		c.running++
 		c.recordStart(priorityClass(t.Priority))
-		if now < c.coldUntil {
-			c.tokens--
-		}
+		c.cold.recordStart(now)
 		decided = append(decided, t)
 	}
 	return decided
@@ -292,14 +283,6 @@
 	}
 }
 
-func (c *Scheduler) coldAllows(now clock.Instant) bool {
-	if now >= c.coldUntil || c.coldRate <= 0 {
-		return true
-	}
-	c.refill(now)
-	return c.tokens >= 1
-}
-
 // NextPoll returns the time after which Poll has to be called even if no request arrives or ends, or 0 if it need not.
 func (c *Scheduler) NextPoll(now clock.Instant) time.Duration {
 	if c.waiting == 0 || c.running >= c.slots {
@@ -308,10 +291,10 @@
 	if c.Deferring(now) {
 		return paceProbeInterval
 	}
-	if c.coldAllows(now) {
+	if c.cold.allows(now) {
 		return 0
 	}
-	return max(time.Millisecond, seconds((1-c.tokens)/c.coldRate))
+	return c.cold.nextToken()
 }
 
 // refuseLate removes and returns a request that missed its objective and has waited too long: for lateWaitDeadlineShare
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -90,7 +90,7 @@
 		node: n, link: dispatch.NewLink(n.settings.LinkMbps),
 		running: map[uint64]int{}, brokenAt: map[uint64]clock.Instant{}, crashCounts: map[uint64]int{}, quarantinedUntil: map[uint64]clock.Instant{},
 	}
-	g.dispatch = dispatch.NewController(n.clock, 1, g.probePace)
+	g.dispatch = dispatch.NewController(n.clock, 1, g.probeTarget)
 	g.linkScheduler = dispatch.NewChunkScheduler(n.clock, g.link.BytesPerSecond())
 	return g
 }
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -129,6 +129,7 @@
 		}
 		m.upstream.Reset()
 		m.gate.recordTargetEnd(now, last.Instance)
+		m.gate.dispatch.Update(func(_ clock.Instant, core *dispatch.Scheduler) { core.ResetCold() })
 	}
 	if m.departed.StartTimeMs == 0 && m.departed.Names(b.Instance, b.StartTimeMs) {
 		m.departed.StartTimeMs = b.StartTimeMs
@@ -474,7 +475,7 @@
 // buildReport returns the report of this node for the leader.
 func (m *member) buildReport(now clock.Instant) *fleet.Report {
 	rows := m.ownRows()
-	last, lastAt := m.holder.LastHeartbeat()
+	_, lastAt := m.holder.LastHeartbeat()
 	r := &fleet.Report{
 		Host:            m.settings.Host,
 		ProcessID:       m.processIncarnation,
@@ -482,7 +483,7 @@
 		ViewVersion:     m.state.view.Load().LatestVersion(),
 		LeaseMs:         m.holder.Remaining(now).Milliseconds(),
 		NextHeartbeatMs: lastAt.Add(m.settings.HeartbeatInterval()).Sub(now).Milliseconds(),
-		ColdRemainingMs: max(0, (last.ColdRemaining - now.Sub(lastAt)).Milliseconds()),
+		ColdRemainingMs: m.gate.dispatch.ColdRemaining().Milliseconds(),
 		Released:        m.holder.Released(now, rows),
 		Crashes:         m.gate.crashes(now),
 		Record:          m.record,
--- a/internal/sidecar/pace.go
+++ b/internal/sidecar/pace.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// paceProbeTimeout bounds a request to the target's health path, which responds immediately.
-	paceProbeTimeout = 200 * time.Millisecond
+	// probeTimeout bounds a request to the target's health path, which responds immediately.
+	probeTimeout = 200 * time.Millisecond
 	// minMoveGain is the share of the latency objective that a move has to save beyond its cost, since the other target may be just
 	// as slow.
 	minMoveGain = 0.1
@@ -21,8 +21,9 @@
 	reasonTargetSlow = "slow_now"
 )
 
-// probePace requests the target's health path in the background. The response reports the pace: how long work currently takes.
-func (g *gate) probePace() {
+// probeTarget requests the target's health path in the background. The response reports the pace, how long work currently takes, and
+// for how long the target is cold.
+func (g *gate) probeTarget() {
 	config := g.state.config.Load()
 	if config == nil || config.Services[g.settings.Service].HealthPath == "" {
 		return
@@ -31,18 +32,24 @@
 		Method: http.MethodGet, Path: config.Services[g.settings.Service].HealthPath, Header: http.Header{}, Host: g.settings.Target,
 		Belongs: platform.IsHealthResponse,
 	}
-	go g.protect("pace probe", func() {
-		ctx, cancel := context.WithTimeout(g.ctx, paceProbeTimeout)
+	instance := g.state.localTarget.Load().instance
+	go g.protect("target probe", func() {
+		ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
 		defer cancel()
+		sent := g.clock.Now()
 		a, err := g.upstream.Do(ctx, request)
 		g.metrics.countPaceProbe(err)
 		if err != nil {
-			g.log.Debug().Err(err).Msg("target did not report its pace; requests held for it start when the last report expires")
+			g.log.Debug().Err(err).Msg("target did not report its state; its next response or heartbeat does")
 			return
 		}
 		closeBody(a)
+		response := platform.ReadResponse(a.Status, a.Header)
 		g.dispatch.Update(func(now clock.Instant, core *dispatch.Scheduler) {
-			core.ObservePace(now, platform.ReadResponse(a.Status, a.Header).ServiceTimeRatio)
+			core.ObservePace(now, response.ServiceTimeRatio)
+			if g.state.localTarget.Load().instance == instance {
+				core.ObserveColdProbe(now, sent, response.ColdRemaining)
+			}
 		})
 	})
 }
--- a/internal/sidecar/pace_test.go
+++ b/internal/sidecar/pace_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/citronvane/citronvane/internal/answer"
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/dispatch"
 	"github.com/citronvane/citronvane/internal/fleet"
@@ -112,3 +113,30 @@
 		n.reportPace(1, 3)
 	}
 }
+
+// Guards against a target that becomes cold between two heartbeats and gets requests at the full rate: the node asks its health path.
+func TestTargetThatBecomesColdIsNoticedBeforeItsHeartbeat(t *testing.T) {
+	const coldPerSecond = 28
+	n, target := pacedNode(t)
+	n.gate.applyConfig(&ingress.Config{Services: map[string]ingress.Service{"s": {HealthPath: standin.HealthPath, ColdPerSecond: coldPerSecond}}})
+	n.gate.dispatch.Update(func(_ clock.Instant, core *dispatch.Scheduler) { core.SetSlots(18) })
+	send := func(i int) (refused bool) {
+		_, r, err := n.gate.serve(t.Context(), &wire.RequestHead{Service: "s", Method: "GET", Path: "/x", ObjectiveMs: 500, TimeoutMs: 1000, RequestId: "1", Headers: relay.FromHTTP(forwardedHeader())}, nil)
+		require.NoError(t, err)
+		return r != nil && r.kind == answer.Cold
+	}
+	for i := range coldPerSecond + 4 {
+		require.False(t, send(i), "the target is warm")
+	}
+	require.Eventually(t, func() bool { return target.HealthChecks.Load() > 0 }, time.Second, time.Millisecond)
+
+	target.ColdMs.Store(3000)
+	before := target.Requests.Load()
+	refused := false
+	for end := time.Now().Add(900 * time.Millisecond); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		refused = send(0) || refused
+	}
+	require.True(t, refused)
+	require.LessOrEqual(t, target.Requests.Load()-before, int64(coldPerSecond*1.5+5))
+	require.Positive(t, n.member.buildReport(n.clock.Now()).ColdRemainingMs, "the leader assigns it no further ranges")
+}
