Keep the quarantine of requests that crash targets over restarts

Cause: crashes and quarantines lived in processes only, and the fingerprint held the caller's service, so that the same request was another one at a host of another service. Ruled out: the bounds of the table of crashes (under 512), and polls that don't arrive (all nodes refused the first fingerprint). Change: internal/quarantine decides, sidecar/crashes.go records runs and hands the list over by polls and the store. Runs count that began after the crash counted before, or that are a request's second one; a run to its end clears. The tests play what failed before; without the store object TestQuarantineOutlastsRestarts has nothing to read (not run separately).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -216,6 +216,9 @@
 	if service, ok := strings.CutPrefix(c.Name, keysPrefix); ok {
 		return apply(v.Tables, service, c, decodeTable)
 	}
+	if c.Name == QuarantineName {
+		return nil // It is no part of the view.
+	}
 	return errs.New(errs.Invalid, "Delete the object.", "fleet: object %q is neither a target record nor an assignment table", c.Name)
 }
 
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -38,8 +38,8 @@
 	View *View `json:"view,omitempty"`
 	// EncodedView takes the place of View at the sender, so that nodes with the same view share one encoding.
 	EncodedView json.RawMessage `json:"-"`
-	// Quarantine lists the fingerprints of requests that crash targets.
-	Quarantine []uint64 `json:"quarantine,omitempty"`
+	// Quarantined lists the requests that crash targets, if the node has another version of the list.
+	Quarantined *QuarantineList `json:"quarantined,omitempty"`
 	// Departures lists the leaving targets whose records in the store don't say so yet.
 	Departures []Departure `json:"departures,omitempty"`
 }
@@ -79,8 +79,11 @@
 	ServiceTimes map[string]float64 `json:"times,omitempty"`
 	RangeDemands []RangeDemand      `json:"segments,omitempty"`
 	Released     []Release          `json:"released,omitempty"`
-	// Crashes counts, by request fingerprint, how often the request was running when the target ended.
-	Crashes map[uint64]int `json:"crashes,omitempty"`
+	// SuspectRuns lists the runs during which the target ended lately, Cleared the suspected requests that have run to their
+	// ends since. QuarantineVersion is the version of the list of quarantined requests that the node received last.
+	SuspectRuns       []SuspectRun `json:"suspect_runs,omitempty"`
+	Cleared           []uint64     `json:"cleared,omitempty"`
+	QuarantineVersion uint64       `json:"quarantine_version,omitempty"`
 	// Departures lists the leaving targets whose records in the store don't say so yet, as far as the node knows. In the
 	// answer to a report it shows which departures the receiver remembers.
 	Departures []Departure `json:"departures,omitempty"`
--- a/internal/sidecar/assign.go
+++ b/internal/sidecar/assign.go
@@ -15,10 +15,6 @@
 const (
 	// lostRecordRetention is how long a host whose term has ended may be unresponsive before its record is deleted.
 	lostRecordRetention = 30 * time.Second
-	// crashLimit is the number of crashes of targets after which a request is quarantined.
-	crashLimit = 2
-	// maxQuarantine bounds the number of quarantined request fingerprints.
-	maxQuarantine = 64
 )
 
 // plan computes the placement and writes the revocations and table changes that it calls for.
@@ -225,36 +221,3 @@
 	}
 	return false
 }
-
-// countCrashes adds up the crashes that requests caused on all hosts, and quarantines requests that reach crashLimit.
-func (c *coordinator) countCrashes(r *fleet.Report) {
-	for fingerprint, count := range r.Crashes {
-		byHost := c.crashCounts[fingerprint]
-		if byHost == nil {
-			byHost = map[string]int{}
-			c.crashCounts[fingerprint] = byHost
-		}
-		byHost[r.Host] = count
-		total := 0
-		for _, n := range byHost {
-			total += n
-		}
-		if total >= crashLimit {
-			c.quarantineRequest(fingerprint, total)
-		}
-	}
-}
-
-func (c *coordinator) quarantineRequest(fingerprint uint64, crashes int) {
-	for _, f := range c.quarantine {
-		if f == fingerprint {
-			return
-		}
-	}
-	if len(c.quarantine) >= maxQuarantine {
-		c.quarantine = c.quarantine[1:]
-	}
-	c.quarantine = append(c.quarantine[:len(c.quarantine):len(c.quarantine)], fingerprint)
-	c.gate.setQuarantine(c.quarantine)
-	event.QuarantineBegan.On(c.log).Uint64("fingerprint", fingerprint).Int("crashes", crashes).Send()
-}
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -69,8 +69,14 @@
 	// revokeAttempted holds the terms that this leader has tried to revoke. It never renews their leases again, because the
 	// write may have taken effect.
 	revokeAttempted map[keyspace.Owner]bool
-	crashCounts     map[uint64]map[string]int
-	quarantine      []uint64
+	// quarantined lists the requests that crash targets. savedQuarantine is the version of the list that the store has,
+	// quarantineObject the version of its object there, and saveQuarantineAt when the next write may be tried.
+	quarantined      fleet.QuarantineList
+	savedQuarantine  uint64
+	quarantineObject uint64
+	saveQuarantineAt clock.Instant
+	// receivedQuarantine is the version of the list that this node received last.
+	receivedQuarantine uint64
 }
 
 // polledNode is the leader's state for one node of the fleet.
@@ -105,7 +111,10 @@
 		c.mergeView(now, p.View)
 	}
 	c.learnDepartures(now, p.Departures)
-	c.gate.setQuarantine(p.Quarantine)
+	if p.Quarantined != nil {
+		c.crashes.adopt(now, *p.Quarantined)
+		c.receivedQuarantine = p.Quarantined.Version
+	}
 	c.applyOperatorState(now, p)
 	if p.StoreSilentMs > 0 {
 		c.probeStore()
@@ -194,6 +203,8 @@
 		c.resign("the store is unreachable from this node but reachable from others")
 		return
 	}
+	c.quarantined = c.crashes.quarantineList()
+	c.saveQuarantine()
 	c.pollAll(now)
 	c.plan(now)
 	c.deleteLostRecords(now)
@@ -208,6 +219,10 @@
 	v := fleet.NewView()
 	v.Revision = revision
 	for _, o := range objects {
+		if o.Name == fleet.QuarantineName {
+			n.post(func(now clock.Instant) { n.adoptQuarantineObject(now, o) })
+			continue
+		}
 		if err := v.Apply(store.Change{Object: o}); err != nil {
 			event.ObjectInvalid.On(n.log).Str("object", o.Name).Err(err).Send()
 		}
@@ -300,9 +315,9 @@
 	}
 }
 
-// operatorStamp returns a value that changes with the configuration and the evacuated zones.
+// operatorStamp returns a value that changes with the configuration, the evacuated zones and the quarantined requests.
 func (c *coordinator) operatorStamp() uint64 {
-	stamp := max(c.state.configVersion.Load(), c.reportedConfig)
+	stamp := max(c.state.configVersion.Load(), c.reportedConfig) + c.quarantined.Version
 	for zone, since := range *c.state.evacuated.Load() {
 		stamp += uint64(since) + uint64(len(zone))
 	}
@@ -314,9 +329,13 @@
 
 // newPoll returns the next poll for a node, with the view changes that it has not seen and the renewal of its lease.
 func (c *coordinator) newPoll(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View, stamp uint64) *fleet.Poll {
-	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Epoch: c.round, Quarantine: c.quarantine,
+	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Epoch: c.round,
 		EvacuatedRevision: c.state.evacuatedRevision.Load(), Departures: c.departures.list()}
 	c.announceConfig(p, n)
+	if n.Report != nil && n.Report.QuarantineVersion != c.quarantined.Version {
+		list := c.quarantined
+		p.Quarantined = &list
+	}
 	for zone := range *c.state.evacuated.Load() {
 		p.EvacuatedZones = append(p.EvacuatedZones, zone)
 	}
@@ -377,7 +396,7 @@
 	}
 	n.Report, n.LastSeen = r, now
 	c.outage.recordOtherAnswer(now, time.Duration(r.StoreAgeMs)*time.Millisecond)
-	c.countCrashes(r)
+	c.recordCrashes(now, r)
 	c.recordReportedOperatorState(now, r)
 	if own := r.Record; own != nil {
 		if old := c.state.view.Load().Targets[own.Host]; old != nil && old.Version < own.Version {
--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -23,9 +23,8 @@
 const (
 	// maxBufferedBody is the largest request body in bytes that is buffered in memory, so that the request can be retried.
 	maxBufferedBody = 1 << 20
-	// minRetryAfter is the lower bound of Retry-After, quarantineRetryAfter the value for quarantined requests.
-	minRetryAfter        = 50 * time.Millisecond
-	quarantineRetryAfter = time.Second
+	// minRetryAfter is the lower bound of Retry-After.
+	minRetryAfter = 50 * time.Millisecond
 	// memoryRetryAfter is the Retry-After time while the node lacks memory.
 	memoryRetryAfter = time.Second
 	// retryAfterJitterDivisor sets the jitter of Retry-After: up to 1/retryAfterJitterDivisor of the value is added at random.
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,11 +33,6 @@
 	grantSlack = 60 * time.Millisecond
 	// keyWaitShare is the share of its latency objective that a request may wait for its key to be granted.
 	keyWaitShare = 0.6
-	// crashAttributionWindow is how long after its connection broke a request counts as a suspect if the target ends, since the end
-	// is detected later than the broken connection.
-	crashAttributionWindow = 3 * time.Second
-	// quarantineTime is how long a node refuses a request that is suspected of crashing targets.
-	quarantineTime = 60 * time.Second
 	// minRemaining is the minimum time left to the deadline for a request to start.
 	minRemaining = 5 * time.Millisecond
 )
@@ -74,22 +68,10 @@
 	demand        demand.Meter
 	// overloaded counts requests refused for overload since the last control tick.
 	overloaded atomic.Int64
-
-	mu sync.Mutex
-	// running counts the requests at the target by fingerprint. brokenAt is when the connection of a request broke. crashCounts is
-	// how often a request was running, or had just lost its connection, when the target ended.
-	running     map[uint64]int
-	brokenAt    map[uint64]clock.Instant
-	crashCounts map[uint64]int
-	// quarantinedUntil is the end of each quarantine.
-	quarantinedUntil map[uint64]clock.Instant
 }
 
 func newGate(n *node) *gate {
-	g := &gate{
-		node: n, link: dispatch.NewLink(n.settings.LinkMbps),
-		running: map[uint64]int{}, brokenAt: map[uint64]clock.Instant{}, crashCounts: map[uint64]int{}, quarantinedUntil: map[uint64]clock.Instant{},
-	}
+	g := &gate{node: n, link: dispatch.NewLink(n.settings.LinkMbps)}
 	g.dispatch = dispatch.NewController(n.clock, 1, g.probeTarget)
 	g.linkScheduler = dispatch.NewChunkScheduler(n.clock, g.link.BytesPerSecond())
 	return g
@@ -234,8 +216,9 @@
 	default:
 		j.stream = body
 	}
+	// The caller's service is left out: it follows from the host that took the request, and a retry may come at another one.
 	h := xxhash.New()
-	for _, part := range []string{head.CallerService, head.Service, head.Method, head.Path, head.Key} {
+	for _, part := range []string{head.Service, head.Method, head.Path, head.Key} {
 		_, _ = h.WriteString(part) // A hash.Hash never returns an error.
 		_, _ = h.WriteString("\x00")
 	}
@@ -252,8 +235,8 @@
 		switch {
 		case j.head.Service != g.settings.Service:
 			return &refusal{answer.NotOwner, 0, "other_service"}
-		case g.quarantined(now, j.fingerprint):
-			return &refusal{answer.Quarantined, quarantineRetryAfter, "quarantined"}
+		case g.crashes.quarantineRemaining(now, j.fingerprint) > 0:
+			return &refusal{answer.Quarantined, g.crashes.quarantineRemaining(now, j.fingerprint), "quarantined"}
 		case !o.serving && !(j.key >= 0 && o.holdsKey(now, j.key) && !g.targetEnded(o)):
 			return &refusal{answer.Draining, 0, "target_" + unavailableReason(o)}
 		case g.stopsBefore(j):
@@ -384,17 +367,17 @@
 		Method: j.head.Method, Path: j.head.Path, Header: header, Host: host, Body: j.body, Stream: j.stream, Length: j.head.ContentLength,
 		Once: !j.head.Repeatable, ID: j.head.RequestId, Belongs: platform.MatchRequestID(j.head.RequestId),
 	}
-	g.beginRun(j.fingerprint)
+	g.crashes.beginRun(g.clock.Now(), j.fingerprint, j.head.RequestId)
 	if !g.callerIsLocal(j) {
 		defer g.link.End(g.link.Begin(j.head.Route))
 	}
 	started := g.clock.Now()
 	a, err := g.upstream.Do(ctx, request)
-	g.endRun(j.fingerprint, errors.Is(err, upstream.ErrBroken))
 	var meta platform.Response
 	if err == nil {
 		meta = platform.ReadResponse(a.Status, a.Header)
 	}
+	g.crashes.endRun(g.clock.Now(), j.fingerprint, outcomeOf(a, meta, err))
 	g.dispatch.Release(ticket, err == nil, meta.ServiceTimeRatio)
 	g.metrics.recordRun(j.head.Route, g.clock.Now().Sub(started), err)
 	if err != nil {
@@ -414,6 +397,17 @@
 	return a, nil, nil
 }
 
+// outcomeOf returns what the end of a run says about the request.
+func outcomeOf(a *upstream.Answer, meta platform.Response, err error) runOutcome {
+	switch {
+	case errors.Is(err, upstream.ErrBroken):
+		return runBroken
+	case err == nil && !meta.NotExecuted && meta.Signed && a.Rest == nil:
+		return runCompleted
+	}
+	return runEnded
+}
+
 // classifyFailure returns a refusal if a request that failed has certainly not run, and nil if it may have run.
 func (g *gate) classifyFailure(j *job, o *localTarget, err error) *refusal {
 	g.lines.logLimited(func(l *logger) {
@@ -433,83 +427,3 @@
 		_ = a.Rest.Close() // The connection is discarded.
 	}
 }
-
-func (g *gate) beginRun(fingerprint uint64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.running[fingerprint]++
-}
-
-func (g *gate) endRun(fingerprint uint64, broken bool) {
-	now := g.clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.running[fingerprint]--; g.running[fingerprint] <= 0 {
-		delete(g.running, fingerprint)
-	}
-	if broken {
-		g.brokenAt[fingerprint] = now
-	}
-}
-
-// recordTargetEnd counts the requests that were running when the target ended, and quarantines those that reach crashLimit.
-func (g *gate) recordTargetEnd(now clock.Instant, instance string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for fingerprint := range g.running {
-		g.brokenAt[fingerprint] = now
-	}
-	for fingerprint, at := range g.brokenAt {
-		if now.Sub(at) < crashAttributionWindow {
-			g.crashCounts[fingerprint]++
-			if g.crashCounts[fingerprint] >= crashLimit {
-				g.quarantinedUntil[fingerprint] = now.Add(quarantineTime)
-			}
-			g.lines.logLimited(func(l *logger) {
-				event.CrashSuspected.On(l).Str("instance", instance).Uint64("fingerprint", fingerprint).Int("crashes", g.crashCounts[fingerprint]).Send()
-			})
-		}
-		delete(g.brokenAt, fingerprint)
-	}
-	if len(g.crashCounts) > maxCrashFingerprints {
-		g.crashCounts = map[uint64]int{}
-	}
-}
-
-// maxCrashFingerprints bounds the size of crashCounts.
-const maxCrashFingerprints = 512
-
-// crashes returns a copy of crashCounts.
-func (g *gate) crashes(clock.Instant) map[uint64]int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	crashes := make(map[uint64]int, len(g.crashCounts))
-	for fingerprint, n := range g.crashCounts {
-		crashes[fingerprint] = n
-	}
-	return crashes
-}
-
-// setQuarantine quarantines the fingerprints that the coordinator lists.
-func (g *gate) setQuarantine(fingerprints []uint64) {
-	if len(fingerprints) == 0 {
-		return
-	}
-	until := g.clock.Now().Add(quarantineTime)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, fingerprint := range fingerprints {
-		g.quarantinedUntil[fingerprint] = until
-	}
-}
-
-func (g *gate) quarantined(now clock.Instant, fingerprint uint64) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	until, ok := g.quarantinedUntil[fingerprint]
-	if ok && now >= until {
-		delete(g.quarantinedUntil, fingerprint)
-		return false
-	}
-	return ok
-}
--- a/internal/sidecar/lead.go
+++ b/internal/sidecar/lead.go
@@ -158,7 +158,7 @@
 	c.pendingWrites = map[string]bool{}
 	c.revokeAttempted = map[keyspace.Owner]bool{}
 	c.expectedDemand = nil
-	c.crashCounts = map[uint64]map[string]int{}
+	c.quarantined, c.savedQuarantine = c.crashes.quarantineList(), 0
 	c.operatorUnread, c.reportedConfig = false, 0
 	event.LeadershipAcquired.On(c.log).Uint64("round", round).Uint64("revision", v.Revision).Send()
 	c.installView(now, c.state.view.Load().Merge(v))
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -485,10 +485,11 @@
 		NextHeartbeatMs: lastAt.Add(m.settings.HeartbeatInterval()).Sub(now).Milliseconds(),
 		ColdRemainingMs: m.gate.dispatch.ColdRemaining().Milliseconds(),
 		Released:        m.holder.Released(now, rows),
-		Crashes:         m.gate.crashes(now),
 		Record:          m.record,
 		Departures:      m.departures.list(),
 	}
+	r.SuspectRuns, r.Cleared = m.crashes.report(now)
+	r.QuarantineVersion = m.coordinator.receivedQuarantine
 	if at := clock.Instant(m.state.storeAnsweredAt.Load()); at > 0 {
 		r.StoreAgeMs = max(1, now.Sub(at).Milliseconds())
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -58,6 +58,7 @@
 	applyMu sync.Mutex
 
 	departures    departures
+	crashes       *crashWatch
 	ctx           context.Context
 	controlEvents chan func(now clock.Instant)
 	gate          *gate
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -125,7 +125,6 @@
 		c.isLeader, c.operatorUnread, c.history = true, unread, fleet.NewHistory()
 		node := &polledNode{}
 		c.polledNodes = map[string]*polledNode{"other": node}
-		c.crashCounts = map[uint64]map[string]int{}
 		c.handleReport(n.clock.Now(), &fleet.Report{Host: "other", ConfigVersion: 9, EvacuatedZones: []string{"z"}, EvacuatedRevision: 20}, false)
 		_, evacuated := n.state.evacuatedSince("z")
 		require.Equal(t, unread, evacuated)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -72,6 +72,7 @@
 		controlEvents: make(chan func(clock.Instant), controlQueueSize), ctx: context.Background(),
 	}
 	n.memory = newMemoryGuard(s.MemoryMB)
+	n.crashes = newCrashWatch(n.processIncarnation)
 	n.store = platform.NewStore(s.Store.Address, n.observeStoreCall)
 	n.gate = newGate(n)
 	n.entrance = newEntrance(n)
