Close the connection of a caller that left, in place of an empty success

Cause: net/http cancels the request, writeResult returned without an answer, and net/http sends 200 for a handler that writes nothing. Ruled out: the other ways out of a handler (stop, contained panic, early end of a body, relay, readiness, heartbeats, the own fleet's entrance). Change: panic with http.ErrAbortHandler, as for truncated bodies. Ready answers are delivered as before.

--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -249,6 +249,9 @@
 	case res.err != nil && errors.Is(context.Cause(ctx), context.Canceled):
 		e.metrics.recordRequest(x.route.Name, "caller_left", took)
 		e.lines.logSampled(func(l *logger) { e.addRequestFields(event.CallerDisconnected.On(l), x, res).Send() })
+		// Closes the connection. net/http would send a success for a handler that returns without an answer, and a caller that has
+		// ended only its sending side would read it.
+		panic(http.ErrAbortHandler)
 	case res.err != nil:
 		e.writeUnknownOutcome(ctx, w, x, res, took)
 	default:
--- /dev/null
+++ b/internal/sidecar/halfclose_test.go
@@ -0,0 +1,74 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/upstream"
+	"github.com/citronvane/citronvane/platform"
+)
+
+// newEntranceServer returns the address of the entrance of a node whose target takes the given time for each request.
+func newEntranceServer(t *testing.T, work time.Duration) string {
+	n := newIdleNode(t)
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(work)
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Server-Signature", "s")
+	}))
+	t.Cleanup(target.Close)
+	n.ctx = t.Context()
+	n.settings.Target = target.Listener.Addr().String()
+	n.upstream = upstream.NewClient(n.settings.Target)
+	t.Cleanup(n.upstream.Reset)
+	n.state.localTarget.Store(&localTarget{serving: true, instance: "i"})
+	view := fleet.NewView()
+	view.Targets["h"] = &fleet.Target{Host: "h", Service: "s", State: fleet.Serving, Slots: 18}
+	n.state.view.Store(view)
+	config, err := platform.DecodeConfig([]byte(`{"version":"r1","routes":{"a":{"host":"x","path_prefix":"/","kind":"safe","timeout_ms":1000,
+		"target_latency_ms":500,"service":"s","max_attempts":2}},"services":{"s":{}},"limits":{}}`))
+	require.NoError(t, err)
+	n.state.config.Store(config)
+	server := newHTTPServer(n.protectHandler("entrance", n.entrance))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(sniffListener{l}) }() // Serve returns after Close.
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// Guards against a success that no target gave: net/http answers 200 for a handler that returns without an answer, and a caller that has
+// closed only its sending side reads it.
+func TestCallerThatEndsItsSendingSideGetsNoFalseSuccess(t *testing.T) {
+	address := newEntranceServer(t, 2*time.Millisecond)
+	closed, answered := 0, 0
+	for i := range 300 {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(c, "GET /y HTTP/1.1\r\nHost: x\r\nRequest-Id: %d\r\nDeadline-Ms: 1000\r\n\r\n", i)
+		require.NoError(t, err)
+		time.Sleep(time.Duration(i%5) * time.Millisecond)
+		require.NoError(t, c.(*net.TCPConn).CloseWrite())
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(2*time.Second)))
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			closed++ // A closed connection promises nothing.
+		} else {
+			answered++
+			if response.StatusCode < 300 {
+				require.Equal(t, "s", response.Header.Get("Server-Signature"), "attempt %d", i)
+			}
+		}
+		require.NoError(t, c.Close())
+	}
+	require.Positive(t, closed, "some left before the answer")
+	require.Positive(t, answered, "an answer that is ready is delivered")
+}
