Send a request only once on a connection to the target

What callers would see: 503 "not run" for a request that its target runs (REFUSED, and TWICE when they repeat it). Cause: upstream.conn remembered the last identity only, so that a late second copy of a refusal passed for the answer to the same request sent again after another one. A connection with unread bytes, or closed while idle, was used too. Change: connections remember what they carried, up to 512 requests, and carry no identity twice; get looks for unread bytes and the end of the connection first; requests without an identity take a new connection.

--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -365,7 +365,7 @@
 	platform.SetTargetHeaders(header, o.instance, j.deadline.Sub(g.clock.Now()))
 	request := &upstream.Request{
 		Method: j.head.Method, Path: j.head.Path, Header: header, Host: host, Body: j.body, Stream: j.stream, Length: j.head.ContentLength,
-		Once: !j.head.Repeatable, ID: j.head.RequestId, Belongs: platform.MatchRequestID(j.head.RequestId),
+		Once: !j.head.Repeatable, ID: j.head.RequestId, Fresh: j.head.RequestId == "", Belongs: platform.MatchRequestID(j.head.RequestId),
 	}
 	g.crashes.beginRun(g.clock.Now(), j.fingerprint, j.head.RequestId)
 	if !g.callerIsLocal(j) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -11,9 +11,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -28,6 +33,8 @@
 	// MaxBuffered is the size up to which an answer is read whole before it goes on.
 	MaxBuffered = 1 << 20
 	readBuffer  = 8 << 10
+	// maxRequests is the number of requests after which a connection is closed, which bounds the IDs that it remembers.
+	maxRequests = 512
 )
 
 // Limits of what is read from a target. Beyond them the connection is closed.
@@ -64,9 +71,11 @@
 	Length int64
 	// Once says that the request can't be repeated, so that only a connection that was just in use is used again.
 	Once bool
-	// ID identifies the request. It is not sent twice in a row on one connection: a late second copy of the first answer could not be
-	// told from the second one.
+	// ID identifies the request. It is sent only once on a connection: a late second copy of the first answer could not be told from the
+	// second one.
 	ID string
+	// Fresh asks for a connection that has carried nothing, because nothing else shows that the answer is the request's own.
+	Fresh bool
 	// Belongs reports whether an answer's headers belong to the request. used says that the connection has carried another request
 	// before, whose answer may have come twice.
 	Belongs func(h http.Header, used bool) bool
@@ -94,9 +103,9 @@
 	reader *bufio.Reader
 	budget *readBudget
 	since  time.Time
-	// lastID is the request that was sent last on the connection. It is empty on a new one.
-	lastID string
-	used   bool
+	// ids are the hashes of the IDs of the requests that the connection has carried, used says that it has carried any.
+	ids  map[uint64]struct{}
+	used bool
 }
 
 // errHeadSize means that the head of an answer exceeds maxHeadBytes.
@@ -155,13 +164,36 @@
 		limit = maxIdleOnce
 	}
 	now := time.Now()
+	c.closeExpired(now)
+	for !r.Fresh {
+		k := c.takeIdle(now, limit, r.ID)
+		if k == nil {
+			break
+		}
+		if k.isQuiet() {
+			return k, nil
+		}
+		_ = k.Close() // The target has closed it, or sent what nobody asked for.
+	}
+	return c.dial(ctx)
+}
+
+// takeIdle removes and returns the connection that was used last of those that have not carried the ID, or nil.
+func (c *Client) takeIdle(now time.Time, limit time.Duration, id string) *conn {
 	c.mu.Lock()
-	if last := len(c.idle) - 1; last >= 0 && now.Sub(c.idle[last].since) <= limit && (r.ID == "" || c.idle[last].lastID != r.ID) {
-		k := c.idle[last]
-		c.idle = c.idle[:last]
-		c.mu.Unlock()
-		return k, nil
+	defer c.mu.Unlock()
+	for i := len(c.idle) - 1; i >= 0 && now.Sub(c.idle[i].since) <= limit; i-- {
+		if k := c.idle[i]; !k.hasCarried(id) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return k
+		}
 	}
+	return nil
+}
+
+// closeExpired closes the connections that have been idle for longer than maxIdle.
+func (c *Client) closeExpired(now time.Time) {
+	c.mu.Lock()
 	var old []*conn
 	for len(c.idle) > 0 && now.Sub(c.idle[0].since) > maxIdle {
 		old = append(old, c.idle[0])
@@ -171,7 +203,43 @@
 	for _, k := range old {
 		_ = k.Close() // Nothing was outstanding on it.
 	}
-	return c.dial(ctx)
+}
+
+// hasCarried reports whether the connection has carried the request.
+func (k *conn) hasCarried(id string) bool {
+	_, carried := k.ids[xxhash.Sum64String(id)]
+	return carried
+}
+
+// recordUse records a request whose answer was read.
+func (k *conn) recordUse(id string) {
+	k.used = true
+	if id == "" {
+		return
+	}
+	if k.ids == nil {
+		k.ids = map[uint64]struct{}{}
+	}
+	k.ids[xxhash.Sum64String(id)] = struct{}{}
+}
+
+// isQuiet reports whether the connection is open and nothing has arrived on it since its last answer.
+func (k *conn) isQuiet() bool {
+	c, ok := k.Conn.(syscall.Conn)
+	if !ok || k.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false // It is closed.
+	}
+	quiet := false
+	var next [1]byte
+	err = raw.Control(func(fd uintptr) {
+		_, _, err := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+	})
+	return quiet && err == nil
 }
 
 func (c *Client) dial(ctx context.Context) (*conn, error) {
@@ -219,8 +287,7 @@
 		a.Rest = &rest{a.Rest, func() { stop(); _ = k.Close() }} // A streamed answer is the last one of its connection.
 		return a, nil
 	}
-	if stop() && reuse {
-		k.used, k.lastID = true, r.ID
+	if k.recordUse(r.ID); stop() && reuse && len(k.ids) < maxRequests {
 		c.put(k)
 	} else {
 		_ = k.Close() // The answer is whole.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -53,6 +54,13 @@
 	}
 }
 
+// identified returns the request with its ID, as the gate sends it.
+func identified(id string) *Request {
+	r := get(id, false)
+	r.ID = id
+	return r
+}
+
 func answerOf(id, body string) string {
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
 }
@@ -79,6 +87,85 @@
 	}
 }
 
+// Guards against a second copy of an earlier answer to the same request, which comes ahead of the real one: a request that its target
+// refused is sent there again, and would be reported as not run while it runs.
+func TestCopyOfAnEarlierRefusalIsNotUsed(t *testing.T) {
+	refused := func(id string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nId: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	for _, between := range []int{0, 1, 5, 100} {
+		seen := map[string]bool{}
+		c := serve(t, func(n int, r *http.Request) string {
+			id := r.Header.Get("Id")
+			if id != "x" {
+				return answerOf(id, "yes")
+			}
+			if !seen["x"] {
+				seen["x"] = true
+				return refused("x")
+			}
+			if n > 0 { // The same connection as before.
+				return refused("x") + answerOf("x", "yes")
+			}
+			return answerOf("x", "yes")
+		})
+		a, err := c.Do(t.Context(), identified("x"))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, a.Status)
+		for i := range between {
+			_, err = c.Do(t.Context(), identified(strconv.Itoa(i)))
+			require.NoError(t, err)
+		}
+		a, err = c.Do(t.Context(), identified("x"))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, a.Status, "after %d other requests", between)
+	}
+}
+
+// Guards against requests on a connection that the target has closed, or on which it has sent something unasked, while it lay idle: they
+// would end with an unknown outcome.
+func TestConnectionThatIsNotQuietIsNotUsed(t *testing.T) {
+	for name, unasked := range map[string]string{"a second answer": answerOf("1", "no"), "junk": "no HTTP at all", "its end": "!close"} {
+		c := serveLate(t, unasked)
+		_, err := c.Do(t.Context(), get("1", true))
+		require.NoError(t, err, name)
+		time.Sleep(30 * time.Millisecond)
+		a, err := c.Do(t.Context(), get("2", true))
+		require.NoError(t, err, name)
+		require.Equal(t, "yes", string(a.Body), name)
+	}
+}
+
+// serveLate answers the first request of each connection, and sends the text some milliseconds later.
+func serveLate(t *testing.T, text string) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, answerOf(r.Header.Get("Id"), "yes"))
+				time.Sleep(5 * time.Millisecond)
+				if text != "!close" {
+					_, _ = io.WriteString(c, text)
+					time.Sleep(time.Second)
+				}
+			}()
+		}
+	}()
+	return NewClient(listener.Addr().String())
+}
+
 func TestBrokenAnswersAreErrors(t *testing.T) {
 	for name, text := range map[string]string{
 		"short body":   "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nshort!close",
