Refuse keyed requests at a node that has no table yet

Cause: Tables[service].Find with a nil *fleet.Table, which embeds the table by value, panics; in selectOwner, waitForNewOwner and waitForKey. Change: View.FindRow. The request waits for an owner as for any key without one, and is refused as not run. TestKeyedRequestBeforeTheTableIsRefused panicked before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -137,6 +137,14 @@
 	return clone
 }
 
+// FindRow returns the row of the service's table that has the key. It reports false if there is none, or no table.
+func (v *View) FindRow(service string, key int) (keyspace.Row, bool) {
+	if t := v.Tables[service]; t != nil {
+		return t.Find(key)
+	}
+	return keyspace.Row{}, false
+}
+
 // LatestVersion returns the highest version of any object in the view. A view with a higher latest version is newer.
 func (v *View) LatestVersion() uint64 {
 	latest := uint64(0)
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -274,7 +274,7 @@
 
 // waitForKey waits for the key to be granted, if the grant is expected in time.
 func (g *gate) waitForKey(ctx context.Context, j *job, now clock.Instant, o *localTarget) *refusal {
-	row, ok := g.state.view.Load().Tables[j.head.Service].Find(j.key)
+	row, ok := g.state.view.Load().FindRow(j.head.Service, j.key)
 	if !ok || row.Owner.Host != g.settings.Host || !row.NextOwner.IsZero() {
 		return &refusal{answer.NotOwner, 0, "not_owner"}
 	}
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -116,7 +116,7 @@
 		now := e.clock.Now()
 		changed := e.state.nextChange()
 		view := e.state.view.Load()
-		row, ok := view.Tables[x.service].Find(x.key)
+		row, ok := view.FindRow(x.service, x.key)
 		if ok {
 			if t := view.Targets[row.Owner.Host]; t != nil && t.Term == row.Owner.Term && t.State != fleet.Down && t.State != fleet.Revoked {
 				if pause := e.pool.EjectedFor(now, t.Host); pause > 0 && t.Host != e.settings.Host {
@@ -214,7 +214,7 @@
 	limit := x.arrived.Add(time.Duration(ownerWaitFraction * float64(x.route.Objective)))
 	for {
 		changed := e.state.nextChange()
-		if row, ok := e.state.view.Load().Tables[x.service].Find(x.key); ok && row.Owner.Host != t.Host {
+		if row, ok := e.state.view.Load().FindRow(x.service, x.key); ok && row.Owner.Host != t.Host {
 			return true
 		}
 		wait := limit.Sub(e.clock.Now())
--- a/internal/sidecar/perform_test.go
+++ b/internal/sidecar/perform_test.go
@@ -13,6 +13,7 @@
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/ingress"
 	"github.com/citronvane/citronvane/internal/settings"
+	"github.com/citronvane/citronvane/internal/wire"
 	"github.com/citronvane/citronvane/platform"
 )
 
@@ -66,3 +67,22 @@
 	require.Equal(t, answer.TargetDown, res.refusal.kind)
 	require.NotZero(t, e.pool.EjectedFor(e.clock.Now(), target.Host))
 }
+
+// Guards against callers who get a closed connection from a node that has a configuration but no table yet: it panicked.
+func TestKeyedRequestBeforeTheTableIsRefused(t *testing.T) {
+	n := newIdleNode(t)
+	n.state.localTarget.Store(&localTarget{serving: true, instance: "i"})
+	x := newTestExchange(n.entrance)
+	x.service, x.key = "s", 7
+	x.route.Objective = 20 * time.Millisecond
+	res := n.entrance.forward(t.Context(), x)
+	require.NotNil(t, res.refusal)
+	require.Equal(t, answer.NoOwner, res.refusal.kind)
+	require.Positive(t, res.refusal.retryAfter)
+
+	j, refused, err := n.gate.newJob(&wire.RequestHead{Service: "s", Key: "7", ObjectiveMs: 20, TimeoutMs: 1000}, nil)
+	require.NoError(t, err)
+	require.Nil(t, refused)
+	require.Equal(t, answer.NotOwner, n.gate.checkServable(t.Context(), j).kind)
+	require.False(t, n.entrance.waitForNewOwner(t.Context(), x, &fleet.Target{Host: "other"}))
+}
