Number the changes of the view in the order in which the leader learns of them

Cause: polls carried what is above the latest version that the node has. Versions rise over all objects, and both sides learn of some later than of others: the node writes its own record, the leader gets a record by its watch after it wrote a table. Ruled out: lost polls (the stamp of the next report repeats them), merging (TestMerge). Change: fleet.History numbers changes by arrival; polls carry the number, reports repeat it with the leader's round; another round gets the whole view, as before. TestHistorySendsTableDeltas and TestPollsShareTheEncodedView pass numbers where they passed versions. TestNodeGetsTheTableAfterAWriteOfItsOwn and TestNodesGetARecordThatTheLeaderLearnsOfLate failed on the code before (no table; term 1, not 2).

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -106,7 +106,7 @@
 		return v
 	}
 	first, latest := recordVersion(10, "a"), recordVersion(12, "b")
-	d := h.Since(latest, 11)
+	d := h.Since(latest, h.Sequence()-1)
 	require.Empty(t, d.Tables)
 	require.Len(t, d.Deltas["s"].Rows, 1)
 	require.Less(t, len((&Poll{View: d}).Encode()), 1000)
@@ -125,7 +125,28 @@
 	_, err = d.ExpandDeltas(NewView())
 	require.Error(t, err, "no base table")
 	require.NotNil(t, h.Since(latest, 0).Tables["s"], "a node without a view gets the complete table")
-	require.Empty(t, h.Since(latest, 12).Tables)
+	require.Empty(t, h.Since(latest, h.Sequence()).Tables)
+}
+
+// Guards against changes that nodes never get: the coordinator learns of a change after another one with a higher version, such as one of
+// its own, and nodes that have the other one count as up to date.
+func TestHistorySendsChangesThatComeLate(t *testing.T) {
+	h := NewHistory()
+	v := NewView()
+	v.Targets["a"], v.Targets["b"] = &Target{Host: "a", Version: 5}, &Target{Host: "b", Version: 6}
+	h.Record(v)
+	v = v.Clone()
+	v.Targets["a"] = &Target{Host: "a", Version: 20} // Its own write.
+	h.Record(v)
+	known := h.Sequence()
+	v = v.Clone()
+	v.Targets["b"] = &Target{Host: "b", Version: 19} // From the watch, later.
+	h.Record(v)
+	require.Greater(t, h.Sequence(), known)
+	d := h.Since(v, known)
+	require.Equal(t, map[string]*Target{"b": v.Targets["b"]}, d.Targets)
+	require.Empty(t, h.Since(v, h.Sequence()).Targets)
+	require.Len(t, h.Since(v, 0).Targets, 2)
 }
 
 func TestReportRangeDemandsRoundTrip(t *testing.T) {
--- a/internal/fleet/history.go
+++ b/internal/fleet/history.go
@@ -16,53 +16,88 @@
 	Version uint64 `json:"version"`
 }
 
-// History keeps the latest versions of the tables, so that the coordinator can send nodes deltas instead of complete
-// tables.
+// History numbers the changes of the coordinator's view in the order in which the coordinator learns of them, and keeps the
+// latest versions of the tables, so that it can send nodes deltas instead of complete tables. The versions of the store
+// don't serve for that: the coordinator learns of some changes later than of others with higher versions.
 type History struct {
-	tables map[string][]*Table // by service, oldest first
-	deltas map[string]map[uint64]*TableDelta
+	// sequence is the number of the latest change.
+	sequence uint64
+	// targets and services hold the number of the latest change of each object.
+	targets  map[string]numberedVersion
+	services map[string]numberedVersion
+	tables   map[string][]recordedTable // by service, oldest first
+	deltas   map[string]map[uint64]*TableDelta
+}
+
+// numberedVersion is a version of an object with the number of the change to it.
+type numberedVersion struct {
+	version, sequence uint64
+}
+
+type recordedTable struct {
+	*Table
+	sequence uint64
 }
 
 // NewHistory returns an empty history.
 func NewHistory() *History {
-	return &History{tables: map[string][]*Table{}, deltas: map[string]map[uint64]*TableDelta{}}
+	return &History{targets: map[string]numberedVersion{}, services: map[string]numberedVersion{}, tables: map[string][]recordedTable{}, deltas: map[string]map[uint64]*TableDelta{}}
 }
 
-// Record adds the tables of the view that are newer than the recorded ones.
+// Sequence returns the number of the latest change, 0 if there is none.
+func (h *History) Sequence() uint64 { return h.sequence }
+
+// Record numbers the objects of the view that have changed since the last call.
 func (h *History) Record(v *View) {
+	next := h.sequence + 1
+	for host, t := range v.Targets {
+		if h.targets[host].version != t.Version {
+			h.targets[host], h.sequence = numberedVersion{t.Version, next}, next
+		}
+	}
 	for service, t := range v.Tables {
-		recorded := h.tables[service]
-		if n := len(recorded); n > 0 && recorded[n-1].Version >= t.Version {
+		if h.services[service].version == t.Version {
 			continue
 		}
-		recorded = append(recorded, t)
+		h.services[service], h.sequence = numberedVersion{t.Version, next}, next
+		recorded := append(h.tables[service], recordedTable{t, next})
 		h.tables[service] = recorded[max(0, len(recorded)-historyLength):]
 		h.deltas[service] = map[uint64]*TableDelta{}
 	}
 }
 
-// Since returns the objects of the view that are newer than the version, as View.Since does. It replaces a table by a
-// delta if the history has the version of the table that a node with this view version has.
-func (h *History) Since(v *View, version uint64) *View {
-	newer := v.Since(version)
-	for service, t := range newer.Tables {
-		if d := h.deltaSince(service, t, version); d != nil {
-			delete(newer.Tables, service)
-			if newer.Deltas == nil {
-				newer.Deltas = map[string]*TableDelta{}
-			}
-			newer.Deltas[service] = d
+// Since returns the objects of the view, which must be the one that was recorded last, that have changed after the change
+// with the number. It replaces a table by a delta if the history has the version of the table that was the latest then.
+func (h *History) Since(v *View, sequence uint64) *View {
+	newer := &View{Targets: map[string]*Target{}, Tables: map[string]*Table{}}
+	for host, t := range v.Targets {
+		if h.targets[host].sequence > sequence {
+			newer.Targets[host] = t
+		}
+	}
+	for service, t := range v.Tables {
+		if h.services[service].sequence <= sequence {
+			continue
+		}
+		d := h.deltaSince(service, t, sequence)
+		if d == nil {
+			newer.Tables[service] = t
+			continue
+		}
+		if newer.Deltas == nil {
+			newer.Deltas = map[string]*TableDelta{}
 		}
+		newer.Deltas[service] = d
 	}
 	return newer
 }
 
-// deltaSince returns the delta from the table version that a node with the view version has, or nil if there is none.
-func (h *History) deltaSince(service string, t *Table, version uint64) *TableDelta {
+// deltaSince returns the delta from the table that was the latest after the change with the number, or nil if there is none.
+func (h *History) deltaSince(service string, t *Table, sequence uint64) *TableDelta {
 	var base *Table
 	for _, recorded := range h.tables[service] {
-		if recorded.Version <= version {
-			base = recorded
+		if recorded.sequence <= sequence {
+			base = recorded.Table
 		}
 	}
 	if base == nil {
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -36,6 +36,9 @@
 	StoreSilentMs int64 `json:"store_silent_ms,omitempty"`
 	// View is set if the view of the node is older. It has only the newer objects.
 	View *View `json:"view,omitempty"`
+	// ViewSequence is the number of the coordinator's latest change of the view. A node that applies the poll has all changes
+	// up to it.
+	ViewSequence uint64 `json:"view_sequence,omitempty"`
 	// EncodedView takes the place of View at the sender, so that nodes with the same view share one encoding.
 	EncodedView json.RawMessage `json:"-"`
 	// Quarantined lists the requests that crash targets, if the node has another version of the list.
@@ -47,8 +50,12 @@
 // Report is the response of a node to a poll. Nodes also send it between polls.
 type Report struct {
 	Host string `json:"host"`
-	// ViewVersion is the latest version in the view of the node; 0 requests a complete view.
+	// ViewVersion is the latest version in the view of the node, 0 if the view is incomplete.
 	ViewVersion uint64 `json:"stamp"`
+	// ViewSequence is that of the last poll that the node applied, which the coordinator of epoch ViewEpoch sent. 0 requests a
+	// complete view.
+	ViewSequence uint64 `json:"view_sequence,omitempty"`
+	ViewEpoch    uint64 `json:"view_round,omitempty"`
 	// ConfigVersion is the store version of the configuration of the node, 0 if it has none.
 	ConfigVersion uint64 `json:"config,omitempty"`
 	// EvacuatedZones and EvacuatedRevision are set if the node has read the evacuated zones later than the coordinator.
--- a/internal/sidecar/confirm_test.go
+++ b/internal/sidecar/confirm_test.go
@@ -19,13 +19,13 @@
 	const reportAge = 900 * time.Millisecond // how long before the poll the coordinator received the report
 	confirmed := clock.Instant(time.Hour)
 	record := &fleet.Target{Host: "h", State: fleet.Serving, Term: 3}
-	c := &coordinator{node: &node{settings: &settings.Sidecar{Host: "coordinator", RelayPorts: []int{1, 1}}, state: newState()}, leadershipConfirmed: confirmed}
+	c := &coordinator{history: fleet.NewHistory(), node: &node{settings: &settings.Sidecar{Host: "coordinator", RelayPorts: []int{1, 1}}, state: newState()}, leadershipConfirmed: confirmed}
 	leadershipEnd := confirmed.Add(leadershipLease - leadershipMargin)
 	now := leadershipEnd.Add(-2 * time.Second) // The store has not answered for some seconds.
 	n := &polledNode{}
 	n.LastSeen, n.Report = now.Add(-reportAge), &fleet.Report{ProcessID: 1, SentAt: int64(now.Add(-reportAge))}
 
-	p := c.newPoll(now, n, record, c.state.view.Load(), 0)
+	p := c.newPoll(now, n, record, c.state.view.Load())
 	lease := tenure.NewTargetLease(now, tenure.Options{LeaseDuration: leaseTerm, HoldDuration: defaultHold})
 	owner := keyspace.Owner{Host: "h", Term: 3}
 	lease.Begin(now, owner, 1, confirmed.Add(-leaseTerm))
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -29,6 +29,8 @@
 	fetchingConfig bool
 	// needsFullView is set when the last view delta did not apply to the local view.
 	needsFullView bool
+	// viewSequence is that of the last poll that this node applied, from the leader of round viewRound.
+	viewSequence, viewRound uint64
 	// configFetchedAt is when this node last read an announced configuration.
 	configFetchedAt clock.Instant
 	// nextOperatorFetch is when this node may next read the operator's objects without an announcement.
@@ -54,7 +56,7 @@
 	reportedConfig uint64
 	history        *fleet.History
 	polledNodes    map[string]*polledNode
-	// encodings holds the encoded changes of the view encodedOf by the stamp that they start from.
+	// encodings holds the encoded changes of the view encodedOf by the number of the change that they follow.
 	encodings    map[uint64][]byte
 	encodedOf    *fleet.View
 	revokedSince map[keyspace.Owner]clock.Instant
@@ -84,7 +86,8 @@
 	placement.Node
 	pollPending bool
 	pollSentAt  clock.Instant
-	viewStamp   uint64
+	// viewSequence is the number of the latest change of the view up to which the node has all.
+	viewSequence uint64
 	// operatorStamp is the stamp of the operator's objects that the last poll carried.
 	operatorStamp uint64
 }
@@ -110,6 +113,9 @@
 	if p.View != nil {
 		c.mergeView(now, p.View)
 	}
+	if !c.needsFullView {
+		c.viewSequence, c.viewRound = p.ViewSequence, p.Epoch
+	}
 	c.learnDepartures(now, p.Departures)
 	if p.Quarantined != nil {
 		c.crashes.adopt(now, *p.Quarantined)
@@ -281,7 +287,7 @@
 // pollAll polls the nodes whose poll is due, or whose view or operator state is out of date.
 func (c *coordinator) pollAll(now clock.Instant) {
 	v := c.state.view.Load()
-	stamp := v.LatestVersion()
+	sequence := c.history.Sequence()
 	operator := c.operatorStamp()
 	probes := 0
 	for host, t := range v.Targets {
@@ -297,11 +303,11 @@
 			}
 			continue
 		}
-		if n.pollPending || now.Sub(n.pollSentAt) < pollInterval && n.viewStamp >= stamp && n.operatorStamp == operator {
+		if n.pollPending || now.Sub(n.pollSentAt) < pollInterval && n.viewSequence >= sequence && n.operatorStamp == operator {
 			continue
 		}
 		n.operatorStamp = operator
-		p := c.newPoll(now, n, t, v, stamp)
+		p := c.newPoll(now, n, t, v)
 		if outage := c.outage.duration(now); (outage > 0 || c.operatorUnread) && probes < storeProbesPerRound {
 			probes++ // Map iteration order is random, so each round asks other nodes.
 			p.StoreSilentMs, p.OperatorUnread = outage.Milliseconds(), c.operatorUnread
@@ -328,7 +334,7 @@
 }
 
 // newPoll returns the next poll for a node, with the view changes that it has not seen and the renewal of its lease.
-func (c *coordinator) newPoll(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View, stamp uint64) *fleet.Poll {
+func (c *coordinator) newPoll(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View) *fleet.Poll {
 	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Epoch: c.round,
 		EvacuatedRevision: c.state.evacuatedRevision.Load(), Departures: c.departures.list()}
 	c.announceConfig(p, n)
@@ -339,8 +345,8 @@
 	for zone := range *c.state.evacuated.Load() {
 		p.EvacuatedZones = append(p.EvacuatedZones, zone)
 	}
-	if n.viewStamp < stamp {
-		p.EncodedView = c.encodedView(v, n.viewStamp)
+	if p.ViewSequence = c.history.Sequence(); n.viewSequence < p.ViewSequence {
+		p.EncodedView = c.encodedView(v, n.viewSequence)
 	}
 	if n.Report != nil && (t.State == fleet.Serving || t.State == fleet.Leaving) && !c.revokeAttempted[t.Owner()] {
 		p.Term, p.ProcessID, p.LastReportSentAt = t.Term, n.Report.ProcessID, n.Report.SentAt
@@ -350,15 +356,15 @@
 	return p
 }
 
-// encodedView returns the encoding of what is newer in the view than the stamp. Most nodes have the same stamp.
-func (c *coordinator) encodedView(v *fleet.View, stamp uint64) []byte {
+// encodedView returns the encoding of what has changed in the view after the change with the number. Most nodes have the same.
+func (c *coordinator) encodedView(v *fleet.View, sequence uint64) []byte {
 	if c.encodedOf != v {
 		c.encodedOf, c.encodings = v, map[uint64][]byte{}
 	}
-	data, ok := c.encodings[stamp]
+	data, ok := c.encodings[sequence]
 	if !ok {
-		data = c.history.Since(v, stamp).Encode()
-		c.encodings[stamp] = data
+		data = c.history.Since(v, sequence).Encode()
+		c.encodings[sequence] = data
 	}
 	return data
 }
@@ -380,7 +386,9 @@
 				c.resign("a node refused the poll because it knows a later coordinator")
 				return
 			}
-			n.viewStamp = r.ViewVersion
+			if n.viewSequence = 0; r.ViewEpoch == round {
+				n.viewSequence = r.ViewSequence
+			}
 			c.handleReport(after, r, len(r.Released) > 0)
 		}
 	})
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -481,6 +481,8 @@
 		ProcessID:       m.processIncarnation,
 		SentAt:          int64(now),
 		ViewVersion:     m.state.view.Load().LatestVersion(),
+		ViewSequence:    m.coordinator.viewSequence,
+		ViewEpoch:       m.coordinator.viewRound,
 		LeaseMs:         m.holder.Remaining(now).Milliseconds(),
 		NextHeartbeatMs: lastAt.Add(m.settings.HeartbeatInterval()).Sub(now).Milliseconds(),
 		ColdRemainingMs: m.gate.dispatch.ColdRemaining().Milliseconds(),
@@ -494,7 +496,7 @@
 		r.StoreAgeMs = max(1, now.Sub(at).Milliseconds())
 	}
 	if !m.state.viewLoaded.Load() || m.coordinator.needsFullView {
-		r.ViewVersion = 0 // Makes the leader send the full view.
+		r.ViewVersion, r.ViewSequence = 0, 0 // Makes the leader send the full view.
 	}
 	m.coordinator.addOperatorState(r)
 	_, r.ServiceTimes = m.gate.dispatch.Stats()
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -86,13 +86,14 @@
 	v := fleet.NewView()
 	v.Revision = 9
 	v.Targets["10.0.0.1"] = &fleet.Target{Host: "10.0.0.1", Relay: "10.0.0.1:1", Service: "s", Term: 1, State: fleet.Serving, Version: 8}
-	first := c.encodedView(v, 5)
-	require.Same(t, &first[0], &c.encodedView(v, 5)[0])
+	c.history.Record(v)
+	first := c.encodedView(v, 0)
+	require.Same(t, &first[0], &c.encodedView(v, 0)[0])
 	p, err := fleet.DecodePoll((&fleet.Poll{Coordinator: "10.0.0.2", Epoch: 3, EncodedView: first}).Encode())
 	require.NoError(t, err)
 	require.Equal(t, uint64(3), p.Epoch)
 	require.Equal(t, v.Targets, p.View.Targets)
-	p, err = fleet.DecodePoll((&fleet.Poll{EncodedView: c.encodedView(v, 8)}).Encode())
+	p, err = fleet.DecodePoll((&fleet.Poll{EncodedView: c.encodedView(v, c.history.Sequence())}).Encode())
 	require.NoError(t, err)
 	require.Empty(t, p.View.Targets, "the node has the view")
 	p, err = fleet.DecodePoll((&fleet.Poll{}).Encode())
--- /dev/null
+++ b/internal/sidecar/view_test.go
@@ -0,0 +1,82 @@
+package sidecar
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/keyspace"
+	"github.com/citronvane/citronvane/internal/settings"
+)
+
+// newTestLeader returns an idle node that leads, with the view.
+func newTestLeader(t *testing.T, v *fleet.View) *coordinator {
+	n := newIdleNode(t)
+	n.settings = &settings.Sidecar{Host: "leader", HeartbeatIntervalMs: 200, RelayPorts: []int{1, 2}}
+	c := n.coordinator
+	c.isLeader, c.round, c.history, c.polledNodes = true, 3, fleet.NewHistory(), map[string]*polledNode{}
+	c.installView(n.clock.Now(), v)
+	return c
+}
+
+// nextPoll returns the leader's next poll for host h as it arrives there.
+func nextPoll(t *testing.T, leader *coordinator, node *polledNode) *fleet.Poll {
+	v := leader.state.view.Load()
+	p, err := fleet.DecodePoll(leader.newPoll(leader.clock.Now(), node, v.Targets["h"], v).Encode())
+	require.NoError(t, err)
+	return p
+}
+
+// answerPoll applies the poll at the node and its report at the leader.
+func answerPoll(t *testing.T, n *node, p *fleet.Poll, leader *coordinator, node *polledNode) {
+	r := n.coordinator.handlePoll(n.clock.Now(), p)
+	require.False(t, r.Refused)
+	if node.viewSequence = 0; r.ViewEpoch == leader.round {
+		node.viewSequence = r.ViewSequence
+	}
+}
+
+// Guards against callers who are never served at a node: a write of its own record raises the latest version that it knows above that of
+// a table which it lacks, so that the leader takes it for up to date.
+func TestNodeGetsTheTableAfterAWriteOfItsOwn(t *testing.T) {
+	record := &fleet.Target{Host: "h", Relay: "10.0.0.1:1", Service: "s", Term: 1, State: fleet.Serving, Version: 3}
+	v := fleet.NewView()
+	v.Targets["h"] = record
+	leader, n, node := newTestLeader(t, v), newIdleNode(t), &polledNode{}
+	n.state.viewLoaded.Store(true)
+	answerPoll(t, n, nextPoll(t, leader, node), leader, node)
+
+	p := nextPoll(t, leader, node) // On its way when the leader writes the table, and the node its record.
+	table := &fleet.Table{Version: 8, Table: keyspace.Table{Fence: 1, Rows: []keyspace.Row{{Range: keyspace.Range{From: 0, To: keyspace.MaxKey}, Owner: record.Owner(), Fence: 1}}}}
+	withTable := leader.state.view.Load().Clone()
+	withTable.Tables["s"] = table
+	own := *record
+	own.Version = 9
+	n.state.view.Store(n.state.view.Load().WithTarget(&own))
+	leader.installView(leader.clock.Now(), withTable)
+	answerPoll(t, n, p, leader, node)
+	answerPoll(t, n, nextPoll(t, leader, node), leader, node)
+	require.NotNil(t, n.state.view.Load().Tables["s"])
+	_, found := n.state.view.Load().FindRow("s", 7)
+	require.True(t, found)
+}
+
+// Guards against the same at the leader: it learns of a record by its watch after it has written a table with a higher version.
+func TestNodesGetARecordThatTheLeaderLearnsOfLate(t *testing.T) {
+	v := fleet.NewView()
+	v.Targets["h"] = &fleet.Target{Host: "h", Relay: "10.0.0.1:1", Service: "s", Term: 1, State: fleet.Serving, Version: 3}
+	v.Targets["other"] = &fleet.Target{Host: "other", Relay: "10.0.0.2:1", Service: "s", Term: 1, State: fleet.Serving, Version: 4}
+	leader, n, node := newTestLeader(t, v), newIdleNode(t), &polledNode{}
+	n.state.viewLoaded.Store(true)
+	v = leader.state.view.Load().Clone()
+	v.Tables["s"] = &fleet.Table{Version: 12}
+	leader.installView(leader.clock.Now(), v)
+	answerPoll(t, n, nextPoll(t, leader, node), leader, node)
+
+	late := *v.Targets["other"]
+	late.Term, late.Version = 2, 11
+	leader.installView(leader.clock.Now(), leader.state.view.Load().WithTarget(&late))
+	answerPoll(t, n, nextPoll(t, leader, node), leader, node)
+	require.Equal(t, uint64(2), n.state.view.Load().Targets["other"].Term)
+}
