--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -24,6 +24,10 @@
 const (
 	// controlQueueSize is the capacity of the queue of events for the control goroutine.
 	controlQueueSize = 256
+	// asyncTimeout bounds a call that the control goroutine makes, and configReadTimeout one that reads a configuration, which may be
+	// large and come over a small link that is full.
+	asyncTimeout      = 2 * time.Second
+	configReadTimeout = 5 * time.Second
 	// maxMessageBytes bounds a message between nodes. A view of 600 hosts takes about 200 KB.
 	maxMessageBytes = 4 << 20
 )
@@ -79,8 +83,13 @@
 
 // runAsync runs a call in a new goroutine and the function that it returns on the control goroutine.
 func (n *node) runAsync(call func(ctx context.Context) func(now clock.Instant)) {
+	n.runAsyncWithin(asyncTimeout, call)
+}
+
+// runAsyncWithin is runAsync for a call that may take another time than asyncTimeout.
+func (n *node) runAsyncWithin(timeout time.Duration, call func(ctx context.Context) func(now clock.Instant)) {
 	go func() {
-		ctx, cancel := context.WithTimeout(n.ctx, 2*time.Second)
+		ctx, cancel := context.WithTimeout(n.ctx, timeout)
 		defer cancel()
 		if !n.protect("call", func() { n.post(call(ctx)) }) {
 			n.post(n.rebuildControl) // The result is missing, and with it the end of the call in the control state.
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -50,7 +50,7 @@
 	}
 	c.fetchingConfig = true
 	wait := c.configFetchedAt.Add(configFetchSpacing).Sub(now)
-	c.runAsync(func(ctx context.Context) func(clock.Instant) {
+	c.runAsyncWithin(configReadTimeout, func(ctx context.Context) func(clock.Instant) {
 		sleep(ctx, wait)
 		err := c.fetchConfig(ctx)
 		return func(after clock.Instant) {
@@ -77,7 +77,7 @@
 		return
 	}
 	c.nextOperatorFetch = now.Add(operatorFetchInterval)
-	c.runAsync(func(ctx context.Context) func(clock.Instant) {
+	c.runAsyncWithin(configReadTimeout, func(ctx context.Context) func(clock.Instant) {
 		err := c.fetchConfig(ctx)
 		if err == nil {
 			err = c.fetchEvacuations(ctx)
