Expect the abort for a caller that left in the older test of it

TestDisconnectedCallerGetsNoResponse called writeResult for a caller that left and expected that nothing is written. Since the handler also aborts, which closes the connection; the test now asks for that too, and failed by the panic until then.

--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -81,7 +81,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	w := httptest.NewRecorder()
-	e.writeResult(ctx, w, newTestExchange(e), &result{err: errors.New("no answer yet")})
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() { // Closes the connection.
+		e.writeResult(ctx, w, newTestExchange(e), &result{err: errors.New("no answer yet")})
+	})
 	require.False(t, w.Flushed)
 	require.Empty(t, w.Header())
 }
