Decide by one rule which requests a stopping node can still finish

What callers saw: requests of other nodes with deadlines behind the node's end were refused from SIGTERM on, 503 for 5 s on routes with long deadlines; callers of the host were taken in the last moment and would have been cut by an answer of the node's own. Cause: stopsBefore looked at the deadline only, and left out the host's callers. Retry-After is the time of a restart.

--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -204,6 +204,9 @@
 		return x, &refusal{answer.Deadline, startupRetryAfter, "no_time_left"}
 	}
 	x.deadline = now.Add(max(remaining-responseMargin, minRemaining))
+	if e.endsBefore(now, x.deadline) {
+		return x, &refusal{answer.Draining, restartTime, "node_stops"}
+	}
 	x.service = x.route.SelectService(x.id)
 	if x.key >= 0 {
 		x.priorWait = e.callerTimeout(x.route.Name).Age(meta.Timeout) // Requests from targets have no key and end with their parent.
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -239,7 +239,7 @@
 			return &refusal{answer.Quarantined, g.crashes.quarantineRemaining(now, j.fingerprint), "quarantined"}
 		case !o.serving && !(j.key >= 0 && o.holdsKey(now, j.key) && !g.targetEnded(o)):
 			return &refusal{answer.Draining, 0, "target_" + unavailableReason(o)}
-		case g.stopsBefore(j):
+		case !g.callerIsLocal(j) && g.endsBefore(now, j.deadline): // The entrance has checked those of local callers.
 			return &refusal{answer.Draining, 0, "node_stops"}
 		case g.zoneEvacuated(now):
 			return &refusal{answer.ZoneOut, 0, "zone_out"}
@@ -301,13 +301,6 @@
 	return nil
 }
 
-// stopsBefore reports whether this node is stopping and may exit before another node's request finishes. Requests of local
-// callers are served until the node exits, since no other node can respond to them.
-func (g *gate) stopsBefore(j *job) bool {
-	end := clock.Instant(g.state.stopDeadline.Load())
-	return end > 0 && j.deadline > end && !g.callerIsLocal(j)
-}
-
 // zoneEvacuated reports whether the zone has been out of service for so long that no request may reach the target any more.
 func (g *gate) zoneEvacuated(now clock.Instant) bool {
 	since, out := g.state.evacuatedSince(g.settings.AvailabilityZone)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	stdlog "log"
 	"math/rand/v2"
@@ -11,7 +10,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/phuslu/log"
 
@@ -25,19 +23,6 @@
 	"github.com/citronvane/citronvane/platform"
 )
 
-const (
-	// drainDelay is how long a stopping node goes on accepting requests. The platform checks readiness once a second and routes no
-	// new callers to the node after two failed checks.
-	drainDelay = 2200 * time.Millisecond
-	// localCallerShare is the fraction of the time after drainDelay in which requests of the host's callers complete. The rest is
-	// for other nodes' requests to the host's target.
-	localCallerShare = 0.5
-	// finalResponseTimeout bounds the sending of the final responses. It is a part of gracePeriodMargin.
-	finalResponseTimeout = 200 * time.Millisecond
-	// gracePeriodMargin is the end of the platform's grace period that is reserved for the exit.
-	gracePeriodMargin = 700 * time.Millisecond
-)
-
 // Run runs the node until the context ends.
 func Run(ctx context.Context, s *settings.Sidecar) error {
 	bounds, err := platform.ReadBounds(s.Bounds)
@@ -168,64 +153,6 @@
 	s.entrance.BaseContext = func(net.Listener) context.Context { return base }
 }
 
-// errStopping cancels requests that have no response when the node has to exit.
-var errStopping = errors.New("the node is exiting")
-
-// stop shuts down within the platform's grace period: it turns readiness off, completes the pending requests and closes the servers.
-func (n *node) stop(s *servers, r *relay.Server) error {
-	event.SidecarStopping.On(n.log).Send()
-	end := n.clock.Now().Add(n.bounds.TerminationGracePeriod - gracePeriodMargin)
-	n.state.stopDeadline.Store(int64(end))
-	n.state.draining.Store(true)
-	n.post(n.coordinator.releaseLeadership)
-	time.Sleep(drainDelay)
-	remaining := end.Sub(n.clock.Now())
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
-	defer cancel()
-	// The relay accepts other nodes' requests until the requests of the host's callers are done. Shutdown also waits for
-	// connections that never sent a request.
-	localCtx, cancelLocal := context.WithTimeout(ctx, time.Duration(localCallerShare*float64(remaining)))
-	defer cancelLocal()
-	n.drainEntrance(localCtx, s)
-	entranceErr := s.entrance.Shutdown(localCtx)
-	relayErr := r.Close(ctx)
-	if entranceErr != nil {
-		entranceErr = n.finishRequests(ctx, s)
-	}
-	for _, server := range []*http.Server{s.heartbeats, s.readiness, s.metrics} {
-		_ = server.Close() // Their clients retry.
-	}
-	line := event.SidecarStopped.On(n.log)
-	if entranceErr != nil || relayErr != nil {
-		line.Any("entrance", entranceErr).Any("relay", relayErr)
-	}
-	line.Send()
-	return nil
-}
-
-// drainEntrance accepts no more callers and answers those whom it has accepted. Shutdown alone would close connections without an answer
-// whose request it has read after its beginning.
-func (n *node) drainEntrance(ctx context.Context, s *servers) {
-	if err := s.entranceListener.Close(); err != nil {
-		event.SidecarStopping.On(n.log).Str("step", "close the entrance").Err(err).Send()
-	}
-	s.entrance.SetKeepAlivesEnabled(false)
-	n.entrance.idle.waitForRequests(ctx)
-}
-
-// finishRequests waits for the pending requests of the host's callers as long as the platform allows, and then responds that their
-// outcome is unknown, because a closed connection would tell the caller even less.
-func (n *node) finishRequests(ctx context.Context, s *servers) error {
-	err := s.entrance.Shutdown(ctx)
-	if err == nil {
-		return nil
-	}
-	s.cancelRequests(errStopping)
-	finalCtx, cancel := context.WithTimeout(context.Background(), finalResponseTimeout)
-	defer cancel()
-	return errs.Wrap(s.entrance.Shutdown(finalCtx), errs.Unavailable, "Look for events 6042 before this one.", "connections were closed before the final responses were sent")
-}
-
 // handleHangups logs SIGHUP, which must not end the process. It reloads no settings: addresses can't change while the process runs,
 // and there is nothing else to set.
 func (n *node) handleHangups(ctx context.Context) {
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -126,7 +126,9 @@
 	draining       atomic.Bool
 	// stopDeadline is the instant at which a stopping node exits, 0 while it is not stopping.
 	stopDeadline atomic.Int64
-	viewLoaded   atomic.Bool
+	// stopBegan is when the node began to stop.
+	stopBegan  atomic.Int64
+	viewLoaded atomic.Bool
 	// storeAnsweredAt is the instant of the store's last response.
 	storeAnsweredAt atomic.Int64
 
