Send a leaving target nothing after the drain period

What callers saw: requests at a target 2 to 3.5 s after its departure was acknowledged, and 502 for those that ran when it exited (review/3, DRAIN). Cause: the gate reads the rows of the last grant until a heartbeat empties them; late heartbeats leave them until the grant runs out. TestLeavingTargetGetsNoRequestsAfterTheDrainPeriod failed before.

--- a/internal/sidecar/departure.go
+++ b/internal/sidecar/departure.go
@@ -133,7 +133,7 @@
 // depart stops using the target of the departure and makes other nodes remember it.
 func (m *member) depart(now clock.Instant, d fleet.Departure) {
 	if m.departed != d {
-		m.departed, m.departureHolders = d, map[string]bool{}
+		m.departed, m.departureHolders, m.departingSince = d, map[string]bool{}, now
 	}
 	m.departures.add(now, []fleet.Departure{d}, m.state.view.Load())
 	m.holder.StartDraining()
@@ -249,7 +249,7 @@
 	if known || !m.departed.IsZero() && d.StartTimeMs <= m.departed.StartTimeMs {
 		return
 	}
-	m.departed, m.departureHolders = d, map[string]bool{}
+	m.departed, m.departureHolders, m.departingSince = d, map[string]bool{}, now
 	m.holder.StartDraining()
 	m.publishTarget(now)
 }
--- a/internal/sidecar/departure_test.go
+++ b/internal/sidecar/departure_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/keyspace"
 	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/tenure"
 	"github.com/citronvane/citronvane/platform/standin"
@@ -164,3 +165,31 @@
 	m.handleHeartbeat(now, &tenure.Heartbeat{Instance: "i4", StartTimeMs: 40, Sequence: 1, Service: "s", Slots: 18})
 	require.True(t, n.state.localTarget.Load().serving)
 }
+
+// Guards against a target that has left and gets requests for as long as its last grant lasts, because its next heartbeats, which would empty
+// the grant, are late.
+func TestLeavingTargetGetsNoRequestsAfterTheDrainPeriod(t *testing.T) {
+	n := newIdleNode(t)
+	m, now := n.member, n.clock.Now()
+	m.markRecordKnown(now)
+	m.bounds.MaxHoldDuration = 10 * time.Second
+	owner := keyspace.Owner{Host: "h", Term: 3}
+	n.state.viewLoaded.Store(true)
+	v := fleet.NewView()
+	v.Tables["s"] = &fleet.Table{Version: 4, Table: keyspace.Table{Fence: 1, Rows: []keyspace.Row{{Range: keyspace.Range{From: 0, To: 9}, Owner: owner, Fence: 1}}}}
+	n.state.view.Store(v)
+	m.recordLoaded, m.leaseCheckedAt = true, now
+	m.record = &fleet.Target{Host: "h", Relay: n.settings.Relay(), Service: "s", Instance: "i", StartTimeMs: 7, Term: 3, State: fleet.Serving, Slots: 18, Version: 5}
+	require.Len(t, m.handleHeartbeat(now, &tenure.Heartbeat{Instance: "i", StartTimeMs: 7, Sequence: 1, Service: "s", Slots: 18}).Rows, 1)
+	m.handleDeparture(now, fleet.Departure{Host: "h", Instance: "i", StartTimeMs: 7}, func(error) {})
+	o := n.state.localTarget.Load()
+	require.False(t, o.serving)
+	require.Greater(t, o.grantedUntil, now.Add(n.bounds.DrainPeriod), "the grant lasts longer than the drain period")
+	require.True(t, o.holdsKey(now.Add(time.Second), 5), "its keys have no other owner yet")
+	require.False(t, o.holdsKey(now.Add(n.bounds.DrainPeriod-drainMargin), 5))
+
+	m.publishTarget(now.Add(time.Second)) // Whatever else changes meanwhile.
+	require.False(t, n.state.localTarget.Load().holdsKey(now.Add(n.bounds.DrainPeriod), 5))
+	m.handleDeparture(now.Add(time.Second), fleet.Departure{Host: "h", Instance: "i", StartTimeMs: 7}, func(error) {})
+	require.False(t, n.state.localTarget.Load().holdsKey(now.Add(n.bounds.DrainPeriod), 5), "a repeated call does not extend it")
+}
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -29,6 +29,8 @@
 	// firstHeartbeatWait is how long a starting node without a record waits for its target's first heartbeat, which spares one of two
 	// writes. Only nodes with a record are polled.
 	firstHeartbeatWait = 400 * time.Millisecond
+	// drainMargin is how long before the platform's deadline a leaving target gets its last request.
+	drainMargin = 300 * time.Millisecond
 	// replyTimeout bounds how long a heartbeat waits for the control goroutine. The target times out after 1 s.
 	replyTimeout = 700 * time.Millisecond
 )
@@ -51,8 +53,10 @@
 	recordKnown bool
 	// departed is the departure of the target, zero if it has not deregistered. departureHolders are the relay addresses of the nodes
 	// that remember it, and departureWaits the calls that wait until it is kept.
-	departed          fleet.Departure
-	departureHolders  map[string]bool
+	departed         fleet.Departure
+	departureHolders map[string]bool
+	// departingSince is when this process learnt that the target leaves.
+	departingSince    clock.Instant
 	departureWaits    []departureWait
 	departureSpreadAt clock.Instant
 	// departureLogged is the departure whose acknowledgement was logged last.
@@ -182,6 +186,7 @@
 		o.notServingReason = "the target has ended"
 	case m.isDeparting(last):
 		o.notServingReason = "the target is leaving"
+		o.lastRequestAt = m.departingSince.Add(m.bounds.DrainPeriod - drainMargin)
 	case !m.recordKnown:
 		o.notServingReason = "the record of the host has not been read"
 	default:
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -95,13 +95,15 @@
 	// rows are the rows of the latest grant, which expires at grantedUntil.
 	rows         []keyspace.Row
 	grantedUntil clock.Instant
+	// lastRequestAt is the instant after which a leaving target gets no requests, 0 if it is not leaving.
+	lastRequestAt clock.Instant
 	// nextHeartbeat is when the next heartbeat is due, which is the earliest time for a new grant.
 	nextHeartbeat clock.Instant
 }
 
-// holdsKey reports whether the target holds a valid grant for the key.
+// holdsKey reports whether the target holds a valid grant for the key and may still receive requests.
 func (o *localTarget) holdsKey(now clock.Instant, key int) bool {
-	if now >= o.grantedUntil {
+	if now >= o.grantedUntil || o.lastRequestAt > 0 && now >= o.lastRequestAt {
 		return false
 	}
 	for _, r := range o.rows {
