Let the record bound which incarnation of the target a node believes

Cause: Stale compared heartbeats only with those of the same process. Change: tenure.ObserveIncarnation takes the start time from the record, read or polled. The window for an earlier start time is 12 s in place of 5, since partitions hold heartbeats up for 10 s, unless the later incarnation is known to have exited.

--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -178,6 +178,7 @@
 	}
 	if own := v.Targets[c.settings.Host]; own != nil {
 		m := c.member
+		m.holder.ObserveIncarnation(now, own.StartTimeMs, own.State == fleet.Down)
 		if own.Leaves() {
 			m.adoptDeparture(now, own.Departure())
 		}
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -360,6 +360,7 @@
 
 // observeRecord applies a record that was read from the store by a call sent at the instant.
 func (m *member) observeRecord(t *fleet.Target, sent clock.Instant) {
+	m.holder.ObserveIncarnation(m.clock.Now(), t.StartTimeMs, t.State == fleet.Down)
 	m.markRecordKnown(m.clock.Now())
 	if t.Leaves() {
 		m.adoptDeparture(m.clock.Now(), t.Departure())
--- a/internal/sidecar/restart_test.go
+++ b/internal/sidecar/restart_test.go
@@ -96,3 +96,67 @@
 	require.Contains(t, recorder.Body.String(), `citronvane_panics_total{task="control"} 1`)
 	require.Contains(t, recorder.Body.String(), `citronvane_panics_total{task="test"} 1`, "an abort is no panic")
 }
+
+// Guards against a late heartbeat of an earlier incarnation that is the first one of a new process of the node: it would end the term of the
+// incarnation that is running, and its keys would be given to others while it holds them.
+func TestLateHeartbeatOfAnEarlierIncarnationAfterARestart(t *testing.T) {
+	current := fleet.Target{Host: "10.0.0.1", Relay: "10.0.0.1:1", Service: "s", Instance: "i-2", StartTimeMs: 20, Term: 3, State: fleet.Serving, Slots: 18}
+	late := &tenure.Heartbeat{Instance: "i-1", StartTimeMs: 10, Sequence: 90, Service: "s", Slots: 18}
+	next := &tenure.Heartbeat{Instance: "i-2", StartTimeMs: 20, Sequence: 7, Service: "s", Slots: 18}
+	restart := func(t *testing.T) (*member, clock.Instant) {
+		n := newIdleNode(t)
+		n.settings.Host = current.Host
+		n.state.viewLoaded.Store(true)
+		return n.member, n.clock.Now()
+	}
+	read := func(m *member, now clock.Instant) {
+		m.handleRead(now, now, store.Object{Name: fleet.TargetName(current.Host), Version: 5, Value: current.Encode()}, nil)
+	}
+	requireTermStays := func(t *testing.T, m *member, now clock.Instant) {
+		t.Helper()
+		last, _ := m.holder.LastHeartbeat()
+		if want := m.desiredRecord(now, last); want != nil {
+			require.Equal(t, current.Term, want.Term)
+			require.Equal(t, current.Instance, want.Instance)
+		}
+		require.Equal(t, current.Term, m.record.Term)
+	}
+	t.Run("the record is read first", func(t *testing.T) {
+		m, now := restart(t)
+		read(m, now)
+		require.False(t, m.handleHeartbeat(now, late).Renew)
+		requireTermStays(t, m, now)
+		m.handleHeartbeat(now, next)
+		requireTermStays(t, m, now)
+		require.Equal(t, "i-2", m.state.localTarget.Load().instance)
+	})
+	t.Run("the late heartbeat comes first", func(t *testing.T) {
+		m, now := restart(t)
+		require.False(t, m.handleHeartbeat(now, late).Renew)
+		read(m, now)
+		requireTermStays(t, m, now)
+		require.False(t, m.state.localTarget.Load().serving, "it names another instance than the one that runs")
+		m.handleHeartbeat(now, next)
+		requireTermStays(t, m, now)
+		require.True(t, m.state.localTarget.Load().serving)
+	})
+	t.Run("the record comes with a poll", func(t *testing.T) {
+		m, now := restart(t)
+		v := fleet.NewView()
+		polled := current
+		polled.Version = 5
+		v.Targets[current.Host] = &polled
+		m.coordinator.installView(now, v)
+		require.False(t, m.handleHeartbeat(now, late).Renew)
+		require.Empty(t, m.state.localTarget.Load().instance)
+	})
+	t.Run("the clock was set back and the target started again", func(t *testing.T) {
+		m, now := restart(t)
+		read(m, now)
+		m.handleHeartbeat(now, next)
+		m.holder.RecordExit(now)
+		m.handleHeartbeat(now, late)
+		last, _ := m.holder.LastHeartbeat()
+		require.Equal(t, "i-1", last.Instance, "the later incarnation is known to have exited")
+	})
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -23,9 +23,9 @@
 	// heartbeat.
 	minHoldDuration = 100 * time.Millisecond
 	// lateHeartbeatWindow is how long a heartbeat with an earlier start time counts as a late one of a
-	// previous incarnation. Heartbeats are sent about once a second and arrive at most a few seconds
-	// late.
-	lateHeartbeatWindow = 5 * time.Second
+	// previous incarnation, unless the later incarnation is known to have exited. Heartbeats are sent
+	// about once a second, and partitions hold them up for up to ten seconds.
+	lateHeartbeatWindow = 12 * time.Second
 	// holdEndMargin is added to the end of the last hold to cover the resolution of the target's
 	// timers.
 	holdEndMargin = 50 * time.Millisecond
@@ -87,6 +87,11 @@
 	startTimeMs     int64
 	lastHeartbeat   Heartbeat
 	lastHeartbeatAt clock.Instant
+	// knownStartTimeMs is the latest start time of the target that is known, from its heartbeats or from
+	// the store, and knownAt when it was last learnt. exited is set when that incarnation has exited.
+	knownStartTimeMs int64
+	knownAt          clock.Instant
+	exited           bool
 	// confirmedAt is when the last call was sent that showed the term as not revoked. valid is false
 	// before the first such call and after a revocation.
 	confirmedAt clock.Instant
@@ -159,14 +164,27 @@
 	return max(0, l.confirmedAt.Add(l.options.LeaseDuration).Sub(now))
 }
 
-// Stale reports whether the heartbeat is from a previous incarnation or was overtaken by a later one.
-// If the last heartbeat is older than lateHeartbeatWindow, an earlier start time means a new
-// incarnation after the clock was set back.
+// ObserveIncarnation records that the store names an incarnation of the target, which an earlier process
+// of the node has heard of, and whether that has exited. A heartbeat of an earlier one that came before is
+// a late one and is forgotten.
+func (l *TargetLease) ObserveIncarnation(now clock.Instant, startTimeMs int64, exited bool) {
+	if startTimeMs <= l.knownStartTimeMs {
+		return
+	}
+	l.knownStartTimeMs, l.knownAt, l.exited = startTimeMs, now, exited
+	if !exited && l.lastHeartbeat.StartTimeMs < startTimeMs {
+		l.lastHeartbeat, l.lastHeartbeatAt, l.releases = Heartbeat{}, 0, nil
+	}
+}
+
+// Stale reports whether the heartbeat is from a previous incarnation or was overtaken by a later one. An
+// earlier start time means a new incarnation after the clock was set back only if the later incarnation
+// has exited, or has not been heard of for lateHeartbeatWindow.
 func (l *TargetLease) Stale(now clock.Instant, b *Heartbeat) bool {
-	if b.StartTimeMs != l.lastHeartbeat.StartTimeMs {
-		return b.StartTimeMs < l.lastHeartbeat.StartTimeMs && now.Sub(l.lastHeartbeatAt) < lateHeartbeatWindow
+	if b.StartTimeMs < l.knownStartTimeMs {
+		return !l.exited && now.Sub(l.knownAt) < lateHeartbeatWindow
 	}
-	return b.Instance == l.lastHeartbeat.Instance && b.Sequence <= l.lastHeartbeat.Sequence && l.lastHeartbeat.Sequence != 0
+	return b.StartTimeMs == l.lastHeartbeat.StartTimeMs && b.Instance == l.lastHeartbeat.Instance && b.Sequence <= l.lastHeartbeat.Sequence && l.lastHeartbeat.Sequence != 0
 }
 
 // RecordHeartbeat records a heartbeat. The caller must discard stale ones.
@@ -175,6 +193,7 @@
 		l.releases = nil
 	}
 	l.lastHeartbeat, l.lastHeartbeatAt = *b, now
+	l.knownStartTimeMs, l.knownAt, l.exited = b.StartTimeMs, now, false
 	if b.Draining {
 		l.draining = true
 	}
@@ -247,6 +266,7 @@
 func (l *TargetLease) RecordExit(now clock.Instant) {
 	l.grantsEnd = min(l.grantsEnd, now)
 	l.grantedRows = nil
+	l.exited = true
 }
 
 // GrantsEnd returns when all grants have certainly expired.
