Let a node of a new fleet wait for its first poll although others have registered

Cause, from a log of the calls: startsFleet looked for any target in the view, and a node's own record, or that of a node that started 0.1 s before, ended it. Each node then read the configuration and the evacuations itself, beside its campaign. Change: the fleet has run before if the first list has a table or this host's record.

--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -72,7 +72,8 @@
 func TestOperatorObjectsCostFewCalls(t *testing.T) {
 	r := newTestFleet(t, 3)
 	leader := r.leader()
-	const callsOfStart = 4 // the fleet's records, the configuration, and at most two writes of the host's record
+	// The fleet's records, at most two writes of the host's record, and the leader's record. The configuration comes with the first poll.
+	const callsOfStart = 4
 	for _, h := range r.hosts {
 		if h != leader {
 			require.LessOrEqual(t, h.storeProxy.Calls(), callsOfStart, h.node.settings.Node)
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -131,6 +131,8 @@
 	// stopBegan is when the node began to stop.
 	stopBegan  atomic.Int64
 	viewLoaded atomic.Bool
+	// fleetRan is set if the store had a table or this host's record when the node started, so that the fleet has run before.
+	fleetRan atomic.Bool
 	// storeAnsweredAt is the instant of the store's last response.
 	storeAnsweredAt atomic.Int64
 
@@ -166,10 +168,10 @@
 	return s.config.Load() != nil && s.viewLoaded.Load() && !s.draining.Load()
 }
 
-// startsFleet reports whether this node knows no target and no table, as at the first start of a fleet.
+// startsFleet reports whether the fleet starts for the first time, as far as this node knows. The records of nodes that start at the same
+// time don't count.
 func (s *state) startsFleet() bool {
-	v := s.view.Load()
-	return len(v.Targets) == 0 && len(v.Tables) == 0
+	return !s.fleetRan.Load() && len(s.view.Load().Tables) == 0
 }
 
 // evacuatedSince returns when this node learned that the zone is evacuated, and whether it is.
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -69,6 +69,7 @@
 			_, _ = n.fetchConfig(ctx), n.fetchEvacuations(ctx)
 		}
 		if err == nil {
+			n.state.fleetRan.Store(len(v.Tables) > 0 || v.Targets[n.settings.Host] != nil)
 			n.post(func(now clock.Instant) {
 				n.member.adoptListedRecord(v, sent)
 				n.coordinator.installView(now, n.state.view.Load().Merge(v))
