--- a/internal/sidecar/crashes_test.go
+++ b/internal/sidecar/crashes_test.go
@@ -113,6 +113,7 @@
 // Guards against a quarantine that ends with the process that decided it: the request would crash targets again after each round of
 // restarts.
 func TestQuarantineOutlastsRestarts(t *testing.T) {
+	t.Parallel()
 	const poison = 4711
 	r := newTestFleet(t, 3)
 	for i, h := range r.hosts[:2] { // Two targets end during a run of the request, one after the other.
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	store   *standin.Store
 	history *standin.History
 	hosts   []*testHost
+	// number is part of the hosts' addresses.
+	number int
 }
 
 type testHost struct {
@@ -51,14 +54,14 @@
 
 func newTestFleet(t *testing.T, keyed int) *testFleet {
 	t.Helper()
-	r := &testFleet{t: t, store: standin.NewStore(), history: standin.NewHistory()}
+	r := &testFleet{t: t, store: standin.NewStore(), history: standin.NewHistory(), number: int(fleetsStarted.Add(1)) % maxFleets}
 	r.store.Configure(standin.Configuration(1, "p"))
 	for i := range keyed + 1 {
 		service := "keyed"
 		if i == keyed {
 			service = "pooled"
 		}
-		r.hosts = append(r.hosts, r.startHost(hostAddress(i), service))
+		r.hosts = append(r.hosts, r.startHost(r.hostAddress(i), service))
 	}
 	t.Cleanup(func() {
 		for _, h := range r.hosts {
@@ -79,11 +82,19 @@
 	return r
 }
 
-// hostAddress returns the address of a host. It depends on the process ID, so that test processes that run at the same time don't take
+// fleetsStarted counts the fleets of this process. maxFleets bounds those that run at the same time.
+var fleetsStarted atomic.Int64
+
+const (
+	maxFleets        = 24
+	maxHostsPerFleet = 10
+)
+
+// hostAddress returns the address of a host. It depends on the process ID and the fleet, so that tests that run at the same time don't take
 // each other's free ports.
-func hostAddress(i int) string {
+func (r *testFleet) hostAddress(i int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, i+11)
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, r.number*maxHostsPerFleet+i+11)
 }
 
 // servesAll reports whether every node serves keys from all parts of the keyspace and the pooled service.
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -165,6 +165,7 @@
 // Guards against a planned stop that takes requests late in the grace period and cuts them off at its end, among them some that may not be
 // repeated: they come on kept connections, their deadlines lie behind the end, and the target is slow.
 func TestPlannedStopTakesOnlyWhatItFinishes(t *testing.T) {
+	t.Parallel()
 	r := newTestFleet(t, 3)
 	r.store.Configure(strings.ReplaceAll(standin.Configuration(2, "q"), `"timeout_ms":3000`, `"timeout_ms":8000`))
 	r.waitUntilServed("q")
