Wait for the grants of an owner whose record is gone

Cause: placement.termEnded took a missing record for an ended term. Change: an owner of ranges without a readable record counts as revoked from when the leader saw that; a record that is back ends it. TestRangesOfAHostWithoutRecordWaitForExpiry and TestOwnerWithoutARecordCountsAsRevokedFromWhenThatWasSeen failed before.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -62,7 +62,8 @@
 	Now   clock.Instant
 	View  *fleet.View
 	Nodes map[string]*Node
-	// Revoked maps each revoked term to the time at which the coordinator first saw the revocation.
+	// Revoked maps each revoked term, and each owner without a readable record, to the time at which the coordinator first saw
+	// that.
 	Revoked map[keyspace.Owner]clock.Instant
 	// Evacuated is the set of zones that are out of service.
 	Evacuated map[string]bool
@@ -315,7 +316,12 @@
 // termEnded reports whether the owner can no longer hold any keys under its term.
 func (p *planner) termEnded(o keyspace.Owner) bool {
 	t := p.input.View.Targets[o.Host]
-	if t == nil || t.Term > o.Term {
+	since, seen := p.input.Revoked[o]
+	expired := seen && p.input.Now.Sub(since) >= p.options.LeaseDuration+revokeMargin
+	if t == nil {
+		return expired // Another program has deleted the record or made it unreadable; the host may still hold the keys.
+	}
+	if t.Term > o.Term {
 		return true
 	}
 	if t.Term < o.Term {
@@ -324,8 +330,7 @@
 	if t.State == fleet.Down {
 		return true
 	}
-	since, seen := p.input.Revoked[o]
-	return t.State == fleet.Revoked && seen && p.input.Now.Sub(since) >= p.options.LeaseDuration+revokeMargin
+	return t.State == fleet.Revoked && expired
 }
 
 // releasedHandover returns the handover token of the row, if the owner's node reports the row as
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -99,6 +99,21 @@
 	}
 }
 
+// Guards against giving away the ranges of a host whose record another program has deleted or overwritten, which may hold them.
+func TestRangesOfAHostWithoutRecordWaitForExpiry(t *testing.T) {
+	f := newTestFleet(3)
+	f.applyPlan(t)
+	delete(f.input.View.Targets, "h0")
+	require.Empty(t, f.applyPlan(t).Tables, "the coordinator has not seen yet since when")
+	f.input.Revoked[keyspace.Owner{Host: "h0", Term: 1}] = f.input.Now
+	f.advanceClock(options.LeaseDuration)
+	f.answerPolls("h1", "h2")
+	require.Empty(t, f.applyPlan(t).Tables)
+	f.advanceClock(revokeMargin)
+	f.answerPolls("h1", "h2")
+	require.Len(t, f.applyPlan(t).Tables["booking"].Moves, initialRangesPerOwner)
+}
+
 func TestRangesOfEndedTermAreReassignedAtOnce(t *testing.T) {
 	for name, end := range map[string]func(*fleet.Target){
 		"down":     func(t *fleet.Target) { t.State = fleet.Down },
--- a/internal/sidecar/assign.go
+++ b/internal/sidecar/assign.go
@@ -51,11 +51,26 @@
 	}
 }
 
-// recordRevocations records when each revoked term was first seen as revoked.
+// recordRevocations records when each revoked term was first seen as revoked, and each owner of ranges as one without a readable record.
 func (c *coordinator) recordRevocations(now clock.Instant, v *fleet.View) {
+	record := func(o keyspace.Owner) {
+		if _, seen := c.revokedSince[o]; !seen {
+			c.revokedSince[o] = max(now, c.previousLeaseEnd.Add(-leaseTerm))
+		}
+	}
 	for _, t := range v.Targets {
-		if _, seen := c.revokedSince[t.Owner()]; !seen && t.State == fleet.Revoked {
-			c.revokedSince[t.Owner()] = max(now, c.previousLeaseEnd.Add(-leaseTerm))
+		switch {
+		case t.State == fleet.Revoked:
+			record(t.Owner())
+		case !c.revokeAttempted[t.Owner()]:
+			delete(c.revokedSince, t.Owner()) // Its record was missing or unreadable for a while.
+		}
+	}
+	for _, table := range v.Tables {
+		for _, r := range table.Rows {
+			if v.Targets[r.Owner.Host] == nil {
+				record(r.Owner)
+			}
 		}
 	}
 }
--- a/internal/sidecar/assign_test.go
+++ b/internal/sidecar/assign_test.go
@@ -37,3 +37,22 @@
 	c.plan(now)
 	require.True(t, c.pendingWrites[name])
 }
+
+// Guards against a leader that starts after another program has overwritten the record of a host: it takes the host's ranges for free while
+// its target holds them.
+func TestOwnerWithoutARecordCountsAsRevokedFromWhenThatWasSeen(t *testing.T) {
+	v := fleet.NewView()
+	owner := keyspace.Owner{Host: "gone", Term: 4}
+	v.Tables["s"] = &fleet.Table{Version: 3, Table: keyspace.Table{Fence: 1, Rows: []keyspace.Row{{Range: keyspace.Range{From: 0, To: 9}, Owner: owner, Fence: 1}}}}
+	c := newTestLeader(t, v)
+	c.revokedSince, c.revokeAttempted = map[keyspace.Owner]clock.Instant{}, map[keyspace.Owner]bool{}
+	now := c.clock.Now()
+	c.previousLeaseEnd = now.Add(leadershipLease)
+	c.recordRevocations(now, v)
+	require.Equal(t, c.previousLeaseEnd.Add(-leaseTerm), c.revokedSince[owner], "the previous leader may have renewed its lease until then")
+	c.recordRevocations(now.Add(time.Second), v)
+	require.Equal(t, c.previousLeaseEnd.Add(-leaseTerm), c.revokedSince[owner])
+	v.Targets["gone"] = &fleet.Target{Host: "gone", Term: 4, State: fleet.Serving}
+	c.recordRevocations(now.Add(time.Second), v)
+	require.NotContains(t, c.revokedSince, owner, "its record is back")
+}
