Split desiredRecord, and choose the hosts of a departure test without a leader among them

describeTarget says what the record is to state, chooseTerm under which term and whether it has to be written. No change of behaviour. TestDepartureDuringAnOutageOutlastsTheProcess panicked once in 3 runs of it (nil host) where the node of the pooled target led: none of the three hosts that it looked at was another one then. It asks the pooled host's node now.

--- a/internal/sidecar/departure_test.go
+++ b/internal/sidecar/departure_test.go
@@ -53,17 +53,13 @@
 		t.Run(fmt.Sprintf("the process leads: %t", leads), func(t *testing.T) {
 			t.Parallel()
 			r := newTestFleet(t, 3)
-			var left, other *testHost
+			left := r.hosts[0] // Stays if the leader is the node of the pooled target.
 			for _, h := range r.hosts[:3] {
 				if h.isLeader() == leads {
 					left = h
-				} else {
-					other = h
 				}
 			}
-			if left == nil {
-				left = r.hosts[0] // The leader is the node of the pooled target.
-			}
+			other := r.hosts[3]
 			for _, h := range r.hosts {
 				h.storeProxy.ChangeFaults(func(f *standin.Faults) { f.Down = true })
 			}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -335,6 +335,7 @@
 
 // Guards against nodes that take leadership from a working leader because they have just started and were not polled yet.
 func TestRestartedNodesDoNotTakeLeadership(t *testing.T) {
+	t.Parallel()
 	r := newTestFleet(t, 3)
 	round := func() uint64 {
 		for _, h := range r.hosts {
@@ -363,6 +364,7 @@
 // A node that can't reach the store keeps serving, because the leader renews its lease. A leader that can't reach the store renews
 // leases only as long as its leadership lease lasts, and another node replaces it.
 func TestNodesCutOffFromTheStore(t *testing.T) {
+	t.Parallel()
 	r := newTestFleet(t, 3)
 	var leader, isolated *testHost
 	for _, h := range r.hosts[:3] {
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -232,11 +232,12 @@
 	for {
 		now := g.clock.Now()
 		o := g.state.localTarget.Load()
+		quarantine := g.crashes.quarantineRemaining(now, j.fingerprint)
 		switch {
 		case j.head.Service != g.settings.Service:
 			return &refusal{answer.NotOwner, 0, "other_service"}
-		case g.crashes.quarantineRemaining(now, j.fingerprint) > 0:
-			return &refusal{answer.Quarantined, g.crashes.quarantineRemaining(now, j.fingerprint), "quarantined"}
+		case quarantine > 0:
+			return &refusal{answer.Quarantined, quarantine, "quarantined"}
 		case !o.serving && !(j.key >= 0 && o.holdsKey(now, j.key) && !g.targetEnded(o)):
 			return &refusal{answer.Draining, 0, "target_" + unavailableReason(o)}
 		case !g.callerIsLocal(j) && g.endsBefore(now, j.deadline): // The entrance has checked those of local callers.
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -220,65 +220,70 @@
 
 // desiredRecord returns the record to write, or nil if the current one is right or the state of the target is not known yet.
 func (m *member) desiredRecord(now clock.Instant, last *tenure.Heartbeat) *fleet.Target {
-	state := fleet.Serving
-	if m.isDeparting(last) {
-		state = fleet.Leaving
+	want := m.describeTarget(now, last)
+	if want == nil || !m.chooseTerm(now, want) {
+		return nil
 	}
-	if m.targetGone(now) {
-		state = fleet.Down
+	if m.record != nil {
+		want.Version = m.record.Version
 	}
+	return want
+}
+
+// describeTarget returns a record of the target's state without a term, or nil if the state is not known yet.
+func (m *member) describeTarget(now clock.Instant, last *tenure.Heartbeat) *fleet.Target {
 	r := m.record
 	want := &fleet.Target{
 		Host: m.settings.Host, Node: m.settings.Node, Relay: m.settings.Relay(), Zone: m.settings.AvailabilityZone,
 		Service: m.settings.Service, Instance: last.Instance, StartTimeMs: last.StartTimeMs, Slots: last.Slots,
-		Departing: m.isDeparting(last),
+		State: fleet.Serving, Departing: m.isDeparting(last),
+	}
+	if want.Departing {
+		want.State = fleet.Leaving
+	}
+	if m.targetGone(now) {
+		want.State = fleet.Down
 	}
 	switch {
 	case m.isDeregistered() && !m.departed.Names(last.Instance, last.StartTimeMs): // It has not sent a heartbeat to this process.
 		if r != nil && (m.departed.Names(r.Instance, r.StartTimeMs) && r.Leaves() || !m.departureFollows(r)) {
 			return nil
 		}
-		state, want.Instance, want.StartTimeMs = fleet.Leaving, m.departed.Instance, m.departed.StartTimeMs
+		want.State, want.Instance, want.StartTimeMs = fleet.Leaving, m.departed.Instance, m.departed.StartTimeMs
 		if r != nil && m.departed.Names(r.Instance, r.StartTimeMs) {
 			want.StartTimeMs, want.Slots = r.StartTimeMs, r.Slots
 		}
 	case last.Instance == "":
-		if r != nil {
+		if r != nil || now.Sub(m.startedAt) < firstHeartbeatWait {
 			return nil // The record of an earlier process of the node stays until the target sends a heartbeat.
 		}
-		if now.Sub(m.startedAt) < firstHeartbeatWait {
-			return nil
-		}
-		state = fleet.Down // The leader only polls nodes that have a record.
+		want.State = fleet.Down // The leader only polls nodes that have a record.
 	}
-	want.State = state
+	return want
+}
+
+// chooseTerm sets the term of the record to write. It reports false if the current record is right, or can't be replaced yet.
+func (m *member) chooseTerm(now clock.Instant, want *fleet.Target) bool {
+	r := m.record
 	switch {
 	case r == nil:
 		want.Term = m.holder.Owner().Term + 1
-	case r.StartTimeMs != want.StartTimeMs || r.Instance != want.Instance || r.Service != m.settings.Service:
+	case r.StartTimeMs != want.StartTimeMs || r.Instance != want.Instance || r.Service != want.Service:
 		// Only one process at a time can bind the host's addresses, so the earlier process has exited.
 		want.Term = r.Term + 1
-	case state == fleet.Serving && (r.State != fleet.Serving || m.holder.Owner() == r.Owner() && !m.holder.Valid()):
+	case want.State == fleet.Serving && (r.State != fleet.Serving || m.holder.Owner() == r.Owner() && !m.holder.Valid()):
 		// The term has ended. The next one starts when all of its grants have expired.
-		if !m.holder.GrantsEnded(now) {
-			return nil
-		}
 		want.Term = r.Term + 1
-	case r.State == fleet.Revoked && state != fleet.Down && (r.Departing || !want.Departing):
-		return nil
+		return m.holder.GrantsEnded(now)
 	default:
 		want.Term = r.Term
-		if r.State == fleet.Revoked && state != fleet.Down {
-			want.State = fleet.Revoked // The departure changes nothing about the end of the term.
-		}
-		if r.State == want.State && r.Relay == want.Relay && r.Slots == want.Slots && r.Departing == want.Departing {
-			return nil
+		if r.State == fleet.Revoked && want.State != fleet.Down {
+			want.State = fleet.Revoked // The target's departure changes nothing about the end of the term.
+			return want.Departing && !r.Departing
 		}
+		return r.State != want.State || r.Relay != want.Relay || r.Slots != want.Slots || r.Departing != want.Departing
 	}
-	if r != nil {
-		want.Version = r.Version
-	}
-	return want
+	return true
 }
 
 // departureFollows reports whether the departure can be that of the incarnation in the record or of a later one. A call without a start
