Fill the link in the test of withdrawals until its bytes stand still

Cause: the test took any byte in the outbox for a full link. With little processor time the writer had only not come to it yet; the link was free, and the requests went out as they should. 20 of 192 runs failed so in 24 copies at once with -race. Change: bytes count as waiting if they are the same 200 ms later. The assertions are as they were.

--- a/internal/relay/withdraw_test.go
+++ b/internal/relay/withdraw_test.go
@@ -81,11 +81,22 @@
 	var group sync.WaitGroup
 	// Large requests fill the link until some of their bytes wait in the outbox, far fewer than make senders wait.
 	body := make([]byte, 200<<10)
-	waiting := func() bool {
+	size := func() int {
 		p := client.pool(server.address)
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return len(p.conns) > 0 && p.conns[0].out.size() > 0
+		if len(p.conns) == 0 {
+			return 0
+		}
+		return p.conns[0].out.size()
+	}
+	waiting := func() bool { // Bytes that move on wait for the writer only, which may get little processor time.
+		before := size()
+		if before == 0 {
+			return false
+		}
+		time.Sleep(200 * time.Millisecond)
+		return size() == before
 	}
 	for full := false; !full; full = waiting() {
 		group.Go(func() {
