Wait before writing an object again that the store has refused

Cause: a leader whom the store refuses plans again with each report of a node, and each plan wrote the table once more: a write, a read, a plan and an encoding each 20 to 30 ms.

Ruled out: the spacing of writes in large fleets (28 ms at 60 hosts) does not help, since it counts from the last write.

Change: an object whose write failed, and which could not be read afterwards either, is written again after storeRetryDelay (300 ms) at the earliest. That holds for tables and for revocations. A conflict, whose object could be read, delays nothing.

--- a/internal/sidecar/assign.go
+++ b/internal/sidecar/assign.go
@@ -34,7 +34,7 @@
 		in.Evacuated[zone] = true
 	}
 	for name, s := range config.Services {
-		if s.Keyed && !c.pendingWrites[fleet.TableName(name)] && c.tableWriteDue(now, name, len(v.Targets)) {
+		if s.Keyed && c.mayWrite(now, fleet.TableName(name)) && c.tableWriteDue(now, name, len(v.Targets)) {
 			in.Keyed[name] = true
 		}
 	}
@@ -91,7 +91,7 @@
 // revoke ends the term of a target whose node does not respond.
 func (c *coordinator) revoke(now clock.Instant, t *fleet.Target) {
 	name := fleet.TargetName(t.Host)
-	if c.pendingWrites[name] {
+	if !c.mayWrite(now, name) {
 		return
 	}
 	n := c.polledNodes[t.Host]
@@ -171,6 +171,12 @@
 // maxMoveLogLines bounds the log lines about range moves for one table write.
 const maxMoveLogLines = 40
 
+// mayWrite reports whether the object may be written now: no write of it is in flight, and the store has not just refused one. Without
+// the delay after a refused write, each report of a node causes another one.
+func (c *coordinator) mayWrite(now clock.Instant, name string) bool {
+	return !c.pendingWrites[name] && now >= c.writeRetryAt[name]
+}
+
 // put writes an object and calls done on success. After a conflict or a lost response it reads the stored object; if that fails
 // too, the watch delivers it.
 func (c *coordinator) put(now clock.Instant, name string, value []byte, version uint64, done func(clock.Instant, uint64)) {
@@ -189,14 +195,17 @@
 			}
 			delete(c.pendingWrites, name)
 			if err == nil {
+				delete(c.writeRetryAt, name)
 				done(after, written)
 				return
 			}
-			if current.Version > 0 {
-				v := c.state.view.Load().Clone()
-				if err := v.Apply(store.Change{Object: current}); err == nil {
-					c.installView(after, v)
-				}
+			if current.Version == 0 {
+				c.writeRetryAt[name] = after.Add(storeRetryDelay)
+				return
+			}
+			v := c.state.view.Load().Clone()
+			if err := v.Apply(store.Change{Object: current}); err == nil {
+				c.installView(after, v)
 			}
 		}
 	})
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -68,6 +68,8 @@
 	// expectedDemand holds the demand of moved ranges that their new owners have not measured yet.
 	expectedDemand []placement.DemandEstimate
 	pendingWrites  map[string]bool // names of objects with a write in flight
+	// writeRetryAt holds, by object name, when an object whose write the store refused may be written again.
+	writeRetryAt map[string]clock.Instant
 	// revokeAttempted holds the terms that this leader has tried to revoke. It never renews their leases again, because the
 	// write may have taken effect.
 	revokeAttempted map[keyspace.Owner]bool
@@ -93,7 +95,7 @@
 }
 
 func newCoordinator(n *node) *coordinator {
-	c := &coordinator{node: n, startedAt: n.clock.Now(), tableWrittenAt: map[string]clock.Instant{}}
+	c := &coordinator{node: n, startedAt: n.clock.Now(), tableWrittenAt: map[string]clock.Instant{}, writeRetryAt: map[string]clock.Instant{}}
 	c.lastPolled = c.startedAt.Add(-electionTimeout)
 	c.jitter = c.newElectionJitter()
 	return c
--- a/internal/sidecar/lead.go
+++ b/internal/sidecar/lead.go
@@ -155,7 +155,7 @@
 	c.revokedSince = map[keyspace.Owner]clock.Instant{}
 	c.rebalancedAt = map[string]clock.Instant{}
 	c.tableWrittenAt, c.planScheduled = map[string]clock.Instant{}, false
-	c.pendingWrites = map[string]bool{}
+	c.pendingWrites, c.writeRetryAt = map[string]bool{}, map[string]clock.Instant{}
 	c.revokeAttempted = map[keyspace.Owner]bool{}
 	c.expectedDemand = nil
 	c.quarantined, c.savedQuarantine = c.crashes.quarantineList(), 0
