Pass on a reported configuration from a leader that can't read it

Cause: a leader that the store refuses learned from other nodes only the version of a new configuration. Its polls announced the version, and each node read the document from the store; hosts that the store refuses as well had no way to it until the refusals ended.

Change: a node that reads the operator's objects for such a leader reports the document too if polls carry documents of its size, unless the leader's poll shows that it has it. The leader applies it, and its polls carry it to all nodes.

Test: TestRefusedLeaderPassesOnAReportedConfiguration, which fails before ("polls carry small configurations").

--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -31,6 +31,9 @@
 	// OperatorUnread means that the coordinator can't read the configuration and the evacuations, so that the node reads
 	// them and reports what is newer.
 	OperatorUnread bool `json:"operator_unread,omitempty"`
+	// ConfigHeld is the store version of the configuration that the coordinator itself has, set if OperatorUnread is set.
+	// ConfigVersion may be a later one that another node has reported.
+	ConfigHeld uint64 `json:"config_held,omitempty"`
 	// StoreSilentMs is the time in milliseconds for which the store has not answered the coordinator. If it is set,
 	// the node tries the store itself.
 	StoreSilentMs int64 `json:"store_silent_ms,omitempty"`
@@ -60,6 +63,8 @@
 	Held *HeldVersions `json:"held,omitempty"`
 	// ConfigVersion is the store version of the configuration of the node, 0 if it has none.
 	ConfigVersion uint64 `json:"config,omitempty"`
+	// Config is the configuration of that version, if the coordinator can't read it and it is small enough.
+	Config json.RawMessage `json:"config_document,omitempty"`
 	// EvacuatedZones and EvacuatedRevision are set if the node has read the evacuated zones later than the coordinator.
 	EvacuatedZones    []string `json:"evacuated,omitempty"`
 	EvacuatedRevision uint64   `json:"evacuated_at,omitempty"`
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -325,7 +325,7 @@
 		p := c.newPoll(now, n, t, v)
 		if outage := c.outage.duration(now); (outage > 0 || c.operatorUnread) && probes < storeProbesPerRound {
 			probes++ // Map iteration order is random, so each round asks other nodes.
-			p.StoreSilentMs, p.OperatorUnread = outage.Milliseconds(), c.operatorUnread
+			p.StoreSilentMs, p.OperatorUnread, p.ConfigHeld = outage.Milliseconds(), c.operatorUnread, c.state.configVersion.Load()
 		}
 		c.sendPoll(now, n, t, p)
 	}
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -16,7 +16,7 @@
 // The operator's objects, the configuration and the evacuated zones, reach the nodes through the leader: only the leader watches them,
 // and its polls carry them, so that a change costs no call to the store a node. Of a configuration above maxPolledConfigBytes they carry
 // only the version, and each node reads it. A leader that can't read the objects asks some nodes in turn to read them and to report what
-// is newer. A node that is not polled reads them itself.
+// is newer, small configurations with the document. A node that is not polled reads them itself.
 
 // applyOperatorState applies the operator's objects that the poll carries: the configuration version and the evacuated zones.
 func (c *coordinator) applyOperatorState(now clock.Instant, p *fleet.Poll) {
@@ -96,6 +96,9 @@
 // addOperatorState adds what this node knows of the operator's objects to a report for the leader.
 func (c *coordinator) addOperatorState(r *fleet.Report) {
 	r.ConfigVersion = c.state.configVersion.Load()
+	if document := c.state.configDocument.Load(); c.lastPoll.OperatorUnread && document != nil && document.Version > c.lastPoll.ConfigHeld && len(document.Value) <= maxPolledConfigBytes {
+		r.ConfigVersion, r.Config = document.Version, document.Value
+	}
 	if revision := c.state.evacuatedRevision.Load(); revision > c.lastPoll.EvacuatedRevision {
 		r.EvacuatedRevision = revision
 		r.EvacuatedZones = slices.Sorted(maps.Keys(*c.state.evacuated.Load()))
@@ -108,7 +111,11 @@
 		return
 	}
 	c.applyToldEvacuations(r.EvacuatedZones, r.EvacuatedRevision)
-	if r.ConfigVersion > max(c.state.configVersion.Load(), c.reportedConfig) {
+	known := max(c.state.configVersion.Load(), c.reportedConfig)
+	if len(r.Config) > 0 { // Hosts that the store refuses have no other way to it than the polls of this leader.
+		c.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: r.ConfigVersion, Value: r.Config})
+	}
+	if r.ConfigVersion > known {
 		c.reportedConfig = r.ConfigVersion
 		c.pollAll(now)
 	}
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/store"
+	"github.com/citronvane/citronvane/platform"
 	"github.com/citronvane/citronvane/platform/standin"
 )
 
@@ -134,3 +136,31 @@
 		require.Equal(t, unread, p.ConfigVersion == 9)
 	}
 }
+
+// Guards against a configuration that reaches none of the hosts that the store refuses: the leader, refused as well, knew only the version
+// that others had read, so that its polls could not carry the document.
+func TestRefusedLeaderPassesOnAReportedConfiguration(t *testing.T) {
+	for _, size := range []int{0, maxPolledConfigBytes} {
+		leader, reader := newTestLeader(t, fleet.NewView()), newIdleNode(t)
+		leader.operatorUnread = true
+		node, refused := &polledNode{}, &polledNode{}
+		leader.polledNodes["h"] = node
+		value := []byte(standin.Configuration(2, "q") + strings.Repeat(" ", size))
+		reader.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: 9, Value: value})
+		poll := leader.newPoll(leader.clock.Now(), node, &fleet.Target{}, leader.state.view.Load())
+		poll.OperatorUnread, poll.ConfigHeld = true, leader.state.configVersion.Load()
+		reader.coordinator.nextOperatorFetch = reader.clock.Now().Add(time.Hour) // It has just read the objects.
+		r, err := fleet.DecodeReport(reader.coordinator.handlePoll(reader.clock.Now(), poll).Encode())
+		require.NoError(t, err)
+		leader.handleReport(leader.clock.Now(), r, false)
+		refused.Report = &fleet.Report{Host: "refused", ConfigVersion: 1}
+		p := &fleet.Poll{}
+		leader.announceConfig(p, refused)
+		require.Equal(t, uint64(9), p.ConfigVersion)
+		require.Equal(t, size == 0, len(p.Config) > 0, "polls carry small configurations")
+
+		poll = leader.newPoll(leader.clock.Now(), node, &fleet.Target{}, leader.state.view.Load())
+		poll.OperatorUnread, poll.ConfigHeld = true, leader.state.configVersion.Load()
+		require.Empty(t, reader.coordinator.handlePoll(reader.clock.Now(), poll).Config, "the leader has it, or it is too large")
+	}
+}
