Identify tenants by API key and rank their requests

Cause: a fleet shared by several customers cannot tell their requests apart. Every caller on a host is served, and what a caller says of itself reaches the targets.

Raw tenant and route priorities do not fit one number without a bound, so each is replaced by its position among those of the configuration, 8 positions each, and the dispatcher has 64 classes in place of 8.

Change: the configuration has a table "tenants" and routes may be "public". A request whose key is missing, unknown or malformed gets 401 before its body is read and before it is relayed. Targets get Tenant-Id, which the node sets, and no Authorization. net/http answers 400 to a control byte in a header before any handler runs; such bytes are replaced within Authorization fields so that these requests get 401 as well. Polls between nodes carry digests in place of keys. Without tenants in the configuration nothing changes.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -45,6 +45,8 @@
 	RepeatRunning    Kind = "repeat_running"
 	RepeatUnknown    Kind = "repeat_unknown"
 	IdentityReused   Kind = "identity_reused"
+	Unauthorized     Kind = "unauthorized"
+	QuotaExceeded    Kind = "quota_exceeded"
 )
 
 // Properties describes a kind of response.
@@ -81,6 +83,8 @@
 	RepeatRunning:    {409, false, false, "A request with this identity is still running.", "Wait, then repeat with the same Idempotency-Key to get its answer."},
 	RepeatUnknown:    {409, false, false, "A request with this identity may have run before.", "Read the state of the key. If this request was never sent before, get a token and use it as the Idempotency-Key."},
 	IdentityReused:   {422, true, false, "The identity belongs to another request.", "Send a new Idempotency-Key with each new request; repeat a request with the same method, path and body."},
+	Unauthorized:     {401, true, false, "The request has no valid API key.", "Send an API key of the tenant in the header Authorization: Bearer KEY."},
+	QuotaExceeded:    {429, true, false, "The tenant's usage cap is reached.", "Try again after the stated time, or ask the operator for a higher cap."},
 }
 
 // PropertiesOf returns the properties of a kind, and whether the kind exists.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/tenant"
 )
 
 const (
@@ -28,7 +29,7 @@
 	minRetryAfterShare = 0.5
 	maxRetryAfterShare = 1
 	// priorityClasses is the number of distinct priorities; larger numbers share the last class.
-	priorityClasses = 8
+	priorityClasses = tenant.Ranks
 	// serviceTimeMargin is the share of the expected service time that is added to it, because half of the responses
 	// take longer than the mean.
 	serviceTimeMargin = 0.25
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/citronvane/citronvane/internal/tenant"
 )
 
 // Kind says whether the requests of a route may be retried.
@@ -47,6 +49,8 @@
 	// MaxAttempts is the number of targets that a request may be sent to.
 	MaxAttempts int
 	Services    []WeightedService
+	// Public routes serve requests without the key of a tenant.
+	Public      bool
 	totalWeight int
 }
 
@@ -71,7 +75,9 @@
 	Version  uint64
 	Services map[string]Service
 	Limits   Limits
-	hosts    map[string][]*Route // by host, longest prefix first
+	// Tenants holds the tenants, nil if the configuration has none.
+	Tenants *tenant.Directory
+	hosts   map[string][]*Route // by host, longest prefix first
 }
 
 // NewConfig returns a configuration with its routes indexed by host.
--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -17,6 +17,7 @@
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/ingress"
+	"github.com/citronvane/citronvane/internal/tenant"
 	"github.com/citronvane/citronvane/platform"
 )
 
@@ -94,7 +95,11 @@
 
 // exchange is the state of one caller request, across all attempts to serve it.
 type exchange struct {
-	route   *ingress.Route
+	route *ingress.Route
+	// tenant is the tenant of the request, nil if it has none.
+	tenant *tenant.Tenant
+	// rank is the priority of the request; 0 is the highest.
+	rank    int
 	service string
 	id      string
 	key     int
@@ -193,6 +198,9 @@
 	if x.route == nil {
 		return x, &refusal{answer.NoRule, 0, "no_route"}
 	}
+	if refused := x.identify(config, r); refused != nil {
+		return x, refused
+	}
 	if config.Limits.MaxBody > 0 && r.ContentLength > config.Limits.MaxBody {
 		return x, &refusal{answer.TooLarge, 0, "body_too_large"}
 	}
@@ -217,6 +225,9 @@
 		return x, &refusal{answer.BadRequest, 0, "no_key"}
 	}
 	x.header = platform.ForwardRequestHeaders(r.Header, e.settings.Service)
+	if config.Tenants != nil {
+		platform.SetTenant(x.header, x.tenantName())
+	}
 	x.header["Host"] = []string{r.Host}
 	return x, nil
 }
@@ -328,7 +339,11 @@
 			Int("retry_after_ms", int(r.retryAfter.Milliseconds())).Send()
 	})
 	platform.SetRequestID(w.Header(), x.id)
-	if status == http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusUnauthorized:
+		platform.SetAuthenticate(w.Header())
+		respondBeforeBody(w)
+	case http.StatusServiceUnavailable:
 		// Jitter spreads the retries of callers that were refused at the same time.
 		after := max(r.retryAfter, minRetryAfter)
 		platform.SetRetryAfter(w.Header(), after+time.Duration(rand.Int64N(int64(after)/retryAfterJitterDivisor+1)))
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -356,6 +356,7 @@
 	relay.ToHTTP(j.head.Headers, header)
 	host := header.Get("Host")
 	header.Del("Host")
+	g.stripAuthorization(header)
 	platform.SetTargetHeaders(header, o.instance, j.deadline.Sub(g.clock.Now()))
 	request := &upstream.Request{
 		Method: j.head.Method, Path: j.head.Path, Header: header, Host: host, Body: j.body, Stream: j.stream, Length: j.head.ContentLength,
--- a/internal/sidecar/halfclose_test.go
+++ b/internal/sidecar/halfclose_test.go
@@ -18,9 +18,16 @@
 
 // newEntranceServer returns the address of the entrance of a node whose target takes the given time for each request.
 func newEntranceServer(t *testing.T, work time.Duration) string {
+	_, address := serveEntrance(t, `{"version":"r1","routes":{"a":{"host":"x","path_prefix":"/","kind":"safe","timeout_ms":1000,
+		"target_latency_ms":500,"service":"s","max_attempts":2}},"services":{"s":{}},"limits":{}}`, func(*http.Request) { time.Sleep(work) })
+	return address
+}
+
+// serveEntrance starts the entrance of a node with the configuration, whose target calls run for each request.
+func serveEntrance(t *testing.T, document string, run func(*http.Request)) (*node, string) {
 	n := newIdleNode(t)
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(work)
+		run(r)
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		w.Header().Set("Server-Signature", "s")
 	}))
@@ -33,16 +40,16 @@
 	view := fleet.NewView()
 	view.Targets["h"] = &fleet.Target{Host: "h", Service: "s", State: fleet.Serving, Slots: 18}
 	n.state.view.Store(view)
-	config, err := platform.DecodeConfig([]byte(`{"version":"r1","routes":{"a":{"host":"x","path_prefix":"/","kind":"safe","timeout_ms":1000,
-		"target_latency_ms":500,"service":"s","max_attempts":2}},"services":{"s":{}},"limits":{}}`))
+	config, err := platform.DecodeConfig([]byte(document))
 	require.NoError(t, err)
 	n.state.config.Store(config)
 	server := newHTTPServer(n.protectHandler("entrance", n.entrance))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go func() { _ = server.Serve(sniffListener{l}) }() // Serve returns after Close.
+	server.ConnState = trackHeads(n.entrance.idle.trackState)
+	go func() { _ = server.Serve(credentialListener{sniffListener{l}, n.state.hasTenants}) }() // Serve returns after Close.
 	t.Cleanup(func() { _ = server.Close() })
-	return l.Addr().String()
+	return n, l.Addr().String()
 }
 
 // Guards against a success that no target gave: net/http answers 200 for a handler that returns without an answer, and a caller that has
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -46,8 +46,9 @@
 type sniffConn struct {
 	net.Conn
 	// partial holds the start of an incomplete header block.
-	partial   []byte
-	ambiguous atomic.Bool
+	partial     []byte
+	ambiguous   atomic.Bool
+	credentials credentialFilter
 }
 
 // Read reads from the connection and scans the data for ambiguous lengths.
@@ -56,6 +57,9 @@
 	if n > 0 && !c.ambiguous.Load() {
 		c.scan(p[:n])
 	}
+	if n > 0 {
+		c.credentials.apply(p[:n])
+	}
 	return n, err
 }
 
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -187,7 +187,7 @@
 		return // Never return to an older version, even if the store object is newer.
 	}
 	n.state.config.Store(next)
-	n.state.configDocument.Store(&o)
+	n.state.configDocument.Store(documentForNodes(o, next.Tenants != nil))
 	n.state.configVersion.Store(o.Version)
 	event.ConfigApplied.On(n.log).Uint64("version", next.Version).Uint64("revision", o.Version).Send()
 	n.entrance.applyConfig(next)
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -273,7 +273,7 @@
 	head := &wire.RequestHead{
 		Service: x.service, Method: x.method, Path: x.path, Headers: relay.FromHTTP(x.header),
 		TimeoutMs:     max(1, x.deadline.Sub(now).Milliseconds()),
-		ContentLength: x.length, Entrance: e.settings.Node, Route: x.route.Name, Rank: int32(x.route.Priority),
+		ContentLength: x.length, Entrance: e.settings.Node, Route: x.route.Name, Rank: int32(x.rank),
 		ObjectiveMs: x.route.Objective.Milliseconds(), ElapsedMs: (now.Sub(x.arrived) + x.priorWait).Milliseconds(),
 		Repeatable: x.route.Kind.Repeatable(), CallerService: e.settings.Service, RequestId: x.id,
 	}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -118,7 +118,7 @@
 	s.initEntrance(n.protectHandler("entrance", n.entrance))
 	s.readiness = newHTTPServer(readiness)
 	s.heartbeats, s.metrics = newHTTPServer(n.protectHandler("heartbeats", platform.HeartbeatHandler(n.member))), newHTTPServer(n.protectHandler("metrics", metrics))
-	s.entrance.ConnState = n.entrance.idle.trackState
+	s.entrance.ConnState = trackHeads(n.entrance.idle.trackState)
 	for _, l := range []struct {
 		address string
 		server  *http.Server
@@ -138,7 +138,7 @@
 			listener = s.entranceListener
 		}
 		go func() {
-			if err := l.server.Serve(sniffListener{listener}); err != http.ErrServerClosed {
+			if err := l.server.Serve(credentialListener{sniffListener{listener}, n.state.hasTenants}); err != http.ErrServerClosed {
 				s.failed <- errs.Wrap(err, errs.Unavailable, "Start the node again.", "serve %s", l.address)
 			}
 		}()
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -122,7 +122,7 @@
 	// configVersion is the store version of the current configuration, evacuatedRevision the revision of the evacuated zones.
 	configVersion     atomic.Uint64
 	evacuatedRevision atomic.Uint64
-	// configDocument is the object of the current configuration.
+	// configDocument is the object of the current configuration, with digests in place of tenants' keys.
 	configDocument atomic.Pointer[store.Object]
 	localTarget    atomic.Pointer[localTarget]
 	draining       atomic.Bool
