Bound what callers hold by a memory account, progress and connections

Cause: the entrance read up to 1 MiB of each body with io.ReadAll and no bound on the sum, the gate copied it again, and a body, a head, a response or a connection that stopped was ended by nobody. Nothing bounded the connections, and a chunked body was not checked against max_body_bytes.

Change: internal/memory accounts for bytes held for others, a sixth of memory_mb. Bodies are reserved in pieces of 32 KiB before they are read and wait up to 0.5 s unread, then get 503. A body in memory is shared with the gate of the same host. Responses without room are streamed. Callers below 1 KiB/s over 10 s are ended, 408 if the request was not sent on; while memory is short, those that would hold theirs longest go first. The longest idle connection gives way at the bounds on connections. A chunked body over the limit gets 413, also while it is streamed. A sender uses 64 KiB of the relay's window, which stays 256 KiB for older senders. A target no longer waits for the rest of a body that broke off.

Ruled out: a smaller window at the receiver, which would cut connections to older nodes; a lower bound for heads, which the configuration may raise.

TestCloseWaitsForTheClientToLeave grants the rest of the window first, so that its answer is as large as before.

--- a/internal/event/sidecar.go
+++ b/internal/event/sidecar.go
@@ -10,6 +10,7 @@
 	SidecarHangup   = register(Event{6003, log.InfoLevel, "received SIGHUP; settings are not reloaded", "Changed settings take effect at the next start."})
 	LogLinesDropped = register(Event{6004, log.WarnLevel, "log lines were dropped because the output was slow or the rate limit was reached", "Raise the limit or read standard output faster if the lines are needed."})
 	PanicContained  = register(Event{6005, log.ErrorLevel, "a task panicked; the process goes on", "Report the stack; only the named task's current input failed."})
+	CallersEnded    = register(Event{6007, log.WarnLevel, "callers were refused or ended because they exceed the bounds on connections, memory or progress", "Look for the callers with many connections or unfinished bodies; the counts say which bound was met."})
 	MemoryShedding  = register(Event{6006, log.WarnLevel, "the node changes whether it refuses requests for lack of memory", "Give the process more memory, or add hosts."})
 
 	StoreCallFailed    = register(Event{6010, log.WarnLevel, "a call to the store failed", "Check the store; traffic continues, and the call is retried."})
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -166,7 +166,7 @@
 // sendBody sends a body that is in memory at once, and any other one from a goroutine, because the
 // answer may arrive before the body ends.
 func (c *call) sendBody(body io.Reader) {
-	if b, ok := body.(*bytes.Reader); ok && b.Len() <= window {
+	if b, ok := body.(*bytes.Reader); ok && b.Len() <= InitialCredit {
 		_, err := b.WriteTo(c.stream)
 		c.endBody(err)
 		return
--- a/internal/relay/close_test.go
+++ b/internal/relay/close_test.go
@@ -89,6 +89,8 @@
 	defer func() { _ = conn.Close() }()
 	require.NoError(t, conn.SetReadBuffer(16<<10))
 	sendRaw(t, conn, secret)
+	_, err = conn.Write(creditFrame(1, window-InitialCredit).append(nil)) // So that the answer is larger than the buffers.
+	require.NoError(t, err)
 	<-answered
 	go func() { _ = server.Close(context.Background()) }()
 	time.Sleep(10 * drainPoll)
--- a/internal/relay/frame.go
+++ b/internal/relay/frame.go
@@ -51,8 +51,11 @@
 	maxData = 16 << 10
 	// window is the number of body bytes that a sender may send ahead of the reader of a stream.
 	window = 256 << 10
+	// InitialCredit is the part of the window that a sender uses. It bounds what each node holds for a reader that has stopped. 64 KiB
+	// a round trip is 187 Mbit/s at 2.8 ms, the longest between zones.
+	InitialCredit = 64 << 10
 	// creditStep is the number of consumed bytes that are worth a credit frame.
-	creditStep = window / 4
+	creditStep = InitialCredit / 4
 	creditSize = 4
 )
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -40,7 +40,7 @@
 }
 
 func newStream(id uint32, out *outbox) *stream {
-	s := &stream{id: id, out: out, credit: window}
+	s := &stream{id: id, out: out, credit: InitialCredit}
 	s.changed.L = &s.mu
 	return s
 }
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"os"
 	"time"
@@ -30,13 +31,48 @@
 	// LinkMbps is the rate of the host's network link in megabits a second, 0 if it is not known.
 	LinkMbps float64 `yaml:"link_mbps" validate:"gte=0"`
 	// MemoryMB is the memory that the process may use, in megabytes, 0 if it is not known.
-	MemoryMB float64       `yaml:"memory_mb" validate:"gte=0"`
-	Listen   SidecarListen `yaml:"listen"`
-	Store    SidecarStore  `yaml:"store"`
+	MemoryMB float64 `yaml:"memory_mb" validate:"gte=0"`
+	// MaxFDs is the number of file descriptors that the process may use, 0 for the limit that the system sets.
+	MaxFDs  int            `yaml:"max_fds" validate:"gte=0"`
+	Callers SidecarCallers `yaml:"callers"`
+	Listen  SidecarListen  `yaml:"listen"`
+	Store   SidecarStore   `yaml:"store"`
 	// Bounds are the platform's bounds by its own names; package platform reads them.
 	Bounds map[string]any `yaml:"bounds"`
 }
 
+// SidecarCallers bounds what callers may hold at the entrance. A field that is 0 has a default.
+type SidecarCallers struct {
+	// MinBytesPerS is the least rate of a request body, and of a response that is being read, in bytes a second.
+	MinBytesPerS int `yaml:"min_bytes_per_s" validate:"gte=0"`
+	// MinRateWindowMs is the time over which that rate is measured.
+	MinRateWindowMs int `yaml:"min_rate_window_ms" validate:"gte=0,lte=3600000"`
+	// MemoryShare is the share of memory_mb for bodies, heads, connections and responses of callers.
+	MemoryShare float64 `yaml:"memory_share" validate:"gte=0,lte=0.5"`
+	// AddressShare is the share of the connections that one caller's address may hold.
+	AddressShare float64 `yaml:"address_share" validate:"gte=0,lte=1"`
+}
+
+// Defaults of SidecarCallers.
+const (
+	// The slowest callers within the platform's limits send hundreds of KiB a second.
+	defaultMinBytesPerS    = 1 << 10
+	defaultMinRateWindowMs = 10_000
+	// A sixth leaves room for the node's own data and for what the garbage collector has not freed yet: it lets the heap grow to twice
+	// its live size.
+	defaultMemoryShare = 1.0 / 6
+	// On most hosts all callers have the same address, so that the share must not be a small one.
+	defaultAddressShare = 0.75
+)
+
+// WithDefaults returns the bounds with the defaults filled in.
+func (c SidecarCallers) WithDefaults() SidecarCallers {
+	return SidecarCallers{
+		MinBytesPerS: cmp.Or(c.MinBytesPerS, defaultMinBytesPerS), MinRateWindowMs: cmp.Or(c.MinRateWindowMs, defaultMinRateWindowMs),
+		MemoryShare: cmp.Or(c.MemoryShare, defaultMemoryShare), AddressShare: cmp.Or(c.AddressShare, defaultAddressShare),
+	}
+}
+
 // SidecarListen holds the addresses that the node serves.
 type SidecarListen struct {
 	// Entrance is for callers on the host and the target itself.
--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -17,6 +16,7 @@
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/ingress"
+	"github.com/citronvane/citronvane/internal/memory"
 	"github.com/citronvane/citronvane/platform"
 )
 
@@ -102,7 +102,7 @@
 	path    string
 	header  http.Header
 	length  int64
-	body    []byte
+	body    heldBody
 	stream  io.Reader // set instead of body if the body is too large to buffer
 	arrived clock.Instant
 	// priorWait is the estimated time between the caller's first attempt and arrived, 0 unless the request looks like a retry.
@@ -117,6 +117,11 @@
 	mustRun    bool
 	// moveCost is the cost in time of moving the request from the selected target to another one, 0 if there is no other.
 	moveCost time.Duration
+	// conn is the caller's connection, nil if it is not tracked; hold is the memory that the request holds.
+	conn *callerConn
+	hold memory.Hold
+	// source is the caller's body, nil if there is none.
+	source *callerBody
 }
 
 // selectionCriteria returns the properties of the request that target selection depends on.
@@ -155,6 +160,7 @@
 		})
 		panic(http.ErrAbortHandler)
 	}
+	expectBody(r)
 	x, refused := e.parseRequest(now, w, r)
 	if refused != nil {
 		e.writeRefusal(w, x, refused)
@@ -162,12 +168,19 @@
 	}
 	ctx, cancel := context.WithTimeoutCause(r.Context(), x.deadline.Sub(now), errDeadline)
 	defer cancel()
-	if err := e.readBody(r, x); err != nil {
-		e.writeRefusal(w, x, &refusal{answer.BadRequest, 0, "body_unreadable"})
+	x.conn, x.hold.Account = callerConnOf(r.Context()), e.account
+	defer x.release()
+	if refused := e.readBody(r, x); refused != nil {
+		x.closeUnread(w)
+		e.writeRefusal(w, x, refused)
 		return
 	}
 	e.retryBudget(x.service).RecordRequest(now)
-	e.writeResult(ctx, w, x, e.forward(ctx, x))
+	res := e.forward(memory.WithHold(ctx, &x.hold), x)
+	if refused := x.streamFailure(w, res); refused != nil {
+		res = &result{refusal: refused}
+	}
+	e.writeResult(ctx, w, x, res)
 }
 
 // parseRequest validates an HTTP request and returns its exchange, or a refusal.
@@ -221,28 +234,6 @@
 	return x, nil
 }
 
-// readBody buffers the body up to maxBufferedBody, so that the request can be retried. A larger body is streamed.
-func (e *entrance) readBody(r *http.Request, x *exchange) error {
-	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
-		x.length = 0
-		return nil
-	}
-	if r.ContentLength > maxBufferedBody {
-		x.stream = r.Body
-		return nil
-	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBody+1))
-	if err != nil {
-		return err
-	}
-	if len(data) > maxBufferedBody {
-		x.stream = io.MultiReader(bytes.NewReader(data), r.Body)
-		return nil
-	}
-	x.body, x.length = data, int64(len(data))
-	return nil
-}
-
 // writeResult sends the result to the caller.
 func (e *entrance) writeResult(ctx context.Context, w http.ResponseWriter, x *exchange, res *result) {
 	took := e.clock.Now().Sub(x.arrived)
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -17,6 +17,7 @@
 	"github.com/citronvane/citronvane/internal/dispatch"
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/ingress"
+	"github.com/citronvane/citronvane/internal/memory"
 	"github.com/citronvane/citronvane/internal/relay"
 	"github.com/citronvane/citronvane/internal/upstream"
 	"github.com/citronvane/citronvane/internal/wire"
@@ -51,7 +52,7 @@
 	deadline     clock.Instant
 	softDeadline clock.Instant // end of the latency objective
 	arrived      clock.Instant
-	body         []byte
+	body         heldBody
 	stream       io.Reader
 	fingerprint  uint64
 }
@@ -109,7 +110,16 @@
 		return err
 	}
 	softDeadline := g.clock.Now().Add(time.Duration(r.Head.ObjectiveMs-r.Head.ElapsedMs) * time.Millisecond)
-	a, refused, err := g.serve(ctx, r.Head, r.Body)
+	hold := memory.Hold{Account: g.account}
+	defer hold.Release()
+	body, refused := g.holdBody(ctx, r.Head, r.Body, &hold)
+	var a *upstream.Answer
+	var err error
+	if refused == nil {
+		a, refused, err = g.serve(memory.WithHold(ctx, &hold), r.Head, body)
+	} else {
+		g.metrics.countRefusal("gate", refused.reason)
+	}
 	if err != nil {
 		return err
 	}
@@ -189,7 +199,7 @@
 	}
 }
 
-// newJob parses a relayed request and buffers its body up to maxBufferedBody.
+// newJob parses a relayed request. A body that is not held in memory is streamed.
 func (g *gate) newJob(head *wire.RequestHead, body io.Reader) (*job, *refusal, error) {
 	now := g.clock.Now()
 	elapsed := time.Duration(head.ElapsedMs) * time.Millisecond
@@ -205,15 +215,9 @@
 		}
 		j.key = key
 	}
-	switch {
-	case body == nil:
-	case head.ContentLength >= 0 && head.ContentLength <= maxBufferedBody:
-		data, err := io.ReadAll(io.LimitReader(body, maxBufferedBody+1))
-		if err != nil || int64(len(data)) != head.ContentLength {
-			return j, &refusal{answer.Draining, 0, "body_lost"}, nil // The sender aborted the request; nothing has run.
-		}
-		j.body = data
-	default:
+	if held, ok := body.(*heldReader); ok {
+		j.body = *held.body
+	} else {
 		j.stream = body
 	}
 	// The caller's service is left out: it follows from the host that took the request, and a retry may come at another one.
@@ -222,7 +226,9 @@
 		_, _ = h.WriteString(part) // A hash.Hash never returns an error.
 		_, _ = h.WriteString("\x00")
 	}
-	_, _ = h.Write(j.body)
+	for _, piece := range j.body.pieces {
+		_, _ = h.Write(piece)
+	}
 	j.fingerprint = h.Sum64()
 	return j, nil, nil
 }
@@ -358,9 +364,14 @@
 	header.Del("Host")
 	platform.SetTargetHeaders(header, o.instance, j.deadline.Sub(g.clock.Now()))
 	request := &upstream.Request{
-		Method: j.head.Method, Path: j.head.Path, Header: header, Host: host, Body: j.body, Stream: j.stream, Length: j.head.ContentLength,
+		Method: j.head.Method, Path: j.head.Path, Header: header, Host: host, Stream: j.stream, Length: j.head.ContentLength, Reserve: reserveAnswer(ctx),
 		Once: !j.head.Repeatable, ID: j.head.RequestId, Fresh: j.head.RequestId == "", Belongs: platform.MatchRequestID(j.head.RequestId),
 	}
+	if body, ok := j.body.contiguous(); ok {
+		request.Body = body
+	} else {
+		request.Stream = j.body.reader()
+	}
 	g.crashes.beginRun(g.clock.Now(), j.fingerprint, j.head.RequestId)
 	if !g.callerIsLocal(j) {
 		defer g.link.End(g.link.Begin(j.head.Route))
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -28,8 +28,8 @@
 	provider *sdk.MeterProvider
 	storeUp  atomic.Bool
 
-	requests, refusals, storeCalls, heartbeats, rangeMoves, retries, paceProbes, panics metric.Int64Counter
-	latency, runDuration                                                                metric.Float64Histogram
+	requests, refusals, storeCalls, heartbeats, rangeMoves, retries, paceProbes, panics, endedCallers metric.Int64Counter
+	latency, runDuration                                                                              metric.Float64Histogram
 }
 
 func newMetrics() (*metrics, error) {
@@ -61,6 +61,7 @@
 	m.paceProbes = counter("citronvane.pace.questions", "questions to the target how long work takes at this moment, by outcome")
 	m.retries = counter("citronvane.repeats", "requests sent once more, by reason")
 	m.panics = counter("citronvane.panics", "panics that were contained, by task")
+	m.endedCallers = counter("citronvane.callers.ended", "connections and requests of callers that were refused or ended because of the bounds on callers, by reason")
 	m.latency = histogram("citronvane.request.duration", "time from the request to its answer at the entrance")
 	m.runDuration = histogram("citronvane.run.duration", "time that the host's target took")
 	return m, errors.Join(instrumentErrs...)
@@ -91,6 +92,10 @@
 	m.panics.Add(context.Background(), 1, metric.WithAttributes(label("task", task)))
 }
 
+func (m *metrics) countEndedCallers(reason string, n int64) {
+	m.endedCallers.Add(context.Background(), n, metric.WithAttributes(label("reason", reason)))
+}
+
 func (m *metrics) countHeartbeat(outcome string) {
 	m.heartbeats.Add(context.Background(), 1, metric.WithAttributes(label("outcome", outcome)))
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -13,6 +13,7 @@
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/memory"
 	"github.com/citronvane/citronvane/internal/relay"
 	"github.com/citronvane/citronvane/internal/settings"
 	"github.com/citronvane/citronvane/internal/store"
@@ -55,6 +56,8 @@
 	upstream *upstream.Client
 	relay    *relay.Client
 	memory   *memoryGuard
+	account  *memory.Account
+	callers  *connTable
 
 	// processIncarnation is a random number that distinguishes this process from earlier ones on the host.
 	processIncarnation uint64
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -285,20 +284,9 @@
 	return head
 }
 
-// bodyReader returns the request's body for one attempt, or nil.
-func (x *exchange) bodyReader() io.Reader {
-	switch {
-	case x.stream != nil:
-		return x.stream
-	case len(x.body) > 0:
-		return bytes.NewReader(x.body)
-	}
-	return nil
-}
-
 // sendLocal sends the request to the target on the local host.
 func (e *entrance) sendLocal(ctx context.Context, x *exchange, head *wire.RequestHead) *result {
-	a, refused, err := e.gate.serve(ctx, head, x.bodyReader())
+	a, refused, err := e.gate.serve(ctx, head, x.localBodyReader())
 	if refused != nil || err != nil {
 		return &result{refusal: refused, err: err}
 	}
@@ -328,7 +316,7 @@
 	if x.key < 0 && res.status < http.StatusMultipleChoices && res.length >= 0 {
 		e.pool.RecordResponseSize(x.selectionCriteria(), res.length)
 	}
-	if res.length < 0 || res.length > upstream.MaxBuffered {
+	if res.length < 0 || res.length > upstream.MaxBuffered || !x.reserveResponse(res.length, relayWindowBytes) {
 		res.stream = response.Body
 		return res, load
 	}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -17,6 +17,7 @@
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/event"
+	"github.com/citronvane/citronvane/internal/memory"
 	"github.com/citronvane/citronvane/internal/relay"
 	"github.com/citronvane/citronvane/internal/settings"
 	"github.com/citronvane/citronvane/internal/upstream"
@@ -57,6 +58,8 @@
 		controlEvents: make(chan func(clock.Instant), controlQueueSize), ctx: context.Background(),
 	}
 	n.memory = newMemoryGuard(s.MemoryMB)
+	n.account = memory.NewAccount(int64(s.Callers.WithDefaults().MemoryShare * s.MemoryMB * bytesPerMB))
+	n.callers = newConnTable(s, n.account)
 	n.crashes = newCrashWatch(n.processIncarnation)
 	n.store = platform.NewStore(s.Store.Address, n.observeStoreCall)
 	n.gate = newGate(n)
@@ -95,6 +98,7 @@
 	go n.supervise(workCtx, "initial view", n.loadInitialView)
 	go n.lines.reportDropped(workCtx)
 	go n.supervise(workCtx, "idle connections", n.entrance.idle.closeExpired)
+	go n.supervise(workCtx, "callers", func(ctx context.Context) { n.callers.watchProgress(ctx, n.log, n.metrics) })
 	go n.handleHangups(workCtx)
 	select {
 	case <-ctx.Done():
@@ -118,7 +122,10 @@
 	s.initEntrance(n.protectHandler("entrance", n.entrance))
 	s.readiness = newHTTPServer(readiness)
 	s.heartbeats, s.metrics = newHTTPServer(n.protectHandler("heartbeats", platform.HeartbeatHandler(n.member))), newHTTPServer(n.protectHandler("metrics", metrics))
-	s.entrance.ConnState = n.entrance.idle.trackState
+	s.entrance.ConnState = func(c net.Conn, state http.ConnState) {
+		n.entrance.idle.trackState(c, state)
+		n.callers.trackState(c, state)
+	}
 	for _, l := range []struct {
 		address string
 		server  *http.Server
@@ -135,7 +142,7 @@
 		l.server.ErrorLog = stdlog.New(io.Discard, "", 0) // net/http logs dropped connections of callers, which the metrics count.
 		if l.server == s.entrance {
 			s.entranceListener = &entranceListener{Listener: listener}
-			listener = s.entranceListener
+			listener = callerListener{s.entranceListener, n.callers}
 		}
 		go func() {
 			if err := l.server.Serve(sniffListener{listener}); err != http.ErrServerClosed {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +34,8 @@
 	// MaxBuffered is the size up to which an answer is read whole before it goes on.
 	MaxBuffered = 1 << 20
 	readBuffer  = 8 << 10
+	// smallAnswer is the size up to which an answer is read without Reserve.
+	smallAnswer = 32 << 10
 	// maxRequests is the number of requests after which a connection is closed, which bounds the IDs that it remembers.
 	maxRequests = 512
 )
@@ -53,6 +56,8 @@
 	ErrNotSent = errors.New("request was not sent to the target")
 	// ErrRefused means that nothing listens on the target's address. It comes with ErrNotSent.
 	ErrRefused = errors.New("the target refuses connections")
+	// ErrBodyLost means that the request's body could not be read to its end. The target got a part of it.
+	ErrBodyLost = errors.New("the body of the request broke off")
 	// ErrBroken means that the connection ended, or spoke no HTTP, before the answer was whole.
 	ErrBroken = errors.New("the target broke off")
 )
@@ -76,6 +81,8 @@
 	ID string
 	// Fresh asks for a connection that has carried nothing, because nothing else shows that the answer is the request's own.
 	Fresh bool
+	// Reserve reports whether there is memory for an answer of the given size. Without it the answer is streamed. Nil stands for always.
+	Reserve func(bytes int64) bool
 	// Belongs reports whether an answer's headers belong to the request. used says that the connection has carried another request
 	// before, whose answer may have come twice.
 	Belongs func(h http.Header, used bool) bool
@@ -309,6 +316,7 @@
 // exchange sends the request and reads its answer. reuse says that the connection may carry another request.
 func (k *conn) exchange(r *Request) (a *Answer, reuse bool, err error) {
 	written := make(chan error, 1)
+	source := &bodySource{Reader: r.Stream}
 	if r.Stream == nil {
 		_, err := k.Write(r.head(r.Body))
 		if err != nil {
@@ -316,10 +324,19 @@
 		}
 		written <- nil
 	} else {
-		go func() { written <- r.stream(k) }()
+		go func() {
+			err := r.stream(k, source)
+			if source.failed.Load() {
+				_ = k.Close() // The target does not get the rest of the body. Closing ends the wait for its answer.
+			}
+			written <- err
+		}()
 	}
 	for range maxStray {
 		a, keep, belongs, err := k.read(r)
+		if err != nil && source.failed.Load() {
+			return nil, false, fmt.Errorf("%w: %w", ErrBodyLost, <-written)
+		}
 		if err != nil {
 			return nil, false, err
 		}
@@ -350,11 +367,11 @@
 		return nil, keep && skip(response), false, nil
 	}
 	a = &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
-	if response.ContentLength > MaxBuffered {
+	if response.ContentLength > MaxBuffered || response.ContentLength > smallAnswer && r.Reserve != nil && !r.Reserve(response.ContentLength) {
 		a.Rest = response.Body
 		return a, false, true, nil
 	}
-	body, err := readAll(response.Body, response.ContentLength)
+	body, err := r.readAll(response.Body, response.ContentLength)
 	if errors.Is(err, errLarge) {
 		a.Rest, a.Length = io.NopCloser(io.MultiReader(bytes.NewReader(body), response.Body)), -1
 		return a, false, true, nil
@@ -397,12 +414,22 @@
 var errLarge = errors.New("the answer is large")
 
 // readAll reads a body of up to MaxBuffered bytes. With errLarge it returns what it has read.
-func readAll(body io.Reader, length int64) ([]byte, error) {
+func (r *Request) readAll(body io.Reader, length int64) ([]byte, error) {
 	if length >= 0 {
 		data := make([]byte, length)
 		_, err := io.ReadFull(body, data)
 		return data, err
 	}
+	if r.Reserve != nil {
+		data, err := io.ReadAll(io.LimitReader(body, smallAnswer+1))
+		if err != nil || len(data) <= smallAnswer {
+			return data, err
+		}
+		if !r.Reserve(MaxBuffered) {
+			return data, errLarge
+		}
+		body = io.MultiReader(bytes.NewReader(data), body)
+	}
 	data, err := io.ReadAll(io.LimitReader(body, MaxBuffered+1))
 	if err == nil && len(data) > MaxBuffered {
 		err = errLarge
@@ -445,21 +472,45 @@
 	return append(buffer, "\r\n"...)
 }
 
+// bodySource remembers whether a body could not be read to its end, as opposed to written.
+type bodySource struct {
+	io.Reader
+	failed atomic.Bool
+}
+
+// Read implements io.Reader.
+func (s *bodySource) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.failed.Store(true)
+	}
+	return n, err
+}
+
+// copyTo copies the body. A body in memory writes itself and does not fail.
+func (s *bodySource) copyTo(w io.Writer) (int64, error) {
+	if from, ok := s.Reader.(io.WriterTo); ok {
+		return from.WriteTo(w)
+	}
+	return io.Copy(w, s)
+}
+
 // stream sends the request with a body that is still arriving.
-func (r *Request) stream(w io.Writer) error {
+func (r *Request) stream(w io.Writer, body *bodySource) error {
 	if _, err := w.Write(r.head(nil)); err != nil {
 		return err
 	}
 	if r.Length >= 0 {
-		n, err := io.Copy(w, r.Stream)
+		n, err := body.copyTo(w)
 		if err == nil && n != r.Length {
 			err = io.ErrUnexpectedEOF
+			body.failed.Store(true)
 		}
 		return err
 	}
 	buffer := make([]byte, 16<<10)
 	for {
-		n, err := r.Stream.Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
 			if _, werr := fmt.Fprintf(w, "%x\r\n%s\r\n", n, buffer[:n]); werr != nil {
 				return werr
