--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -91,6 +91,9 @@
 		if call.withdrawn.Load() {
 			return nil, notSent(fmt.Errorf("%w: %w", ErrWithdrawn, err))
 		}
+		if cause := context.Cause(ctx); cause != nil && !errors.Is(err, cause) { // The server has reset the stream after its cancellation.
+			err = fmt.Errorf("%w: %w", cause, err)
+		}
 		return nil, fmt.Errorf("relay: no answer from %s: %w", address, err)
 	}
 	return &Response{Head: response, Body: call}, nil
@@ -194,7 +197,7 @@
 // sendBody sends a body that is in memory at once, and any other one from a goroutine, because the
 // answer may arrive before the body ends.
 func (c *call) sendBody(body io.Reader) {
-	if b, ok := body.(*bytes.Reader); ok && b.Len() <= window {
+	if b, ok := body.(*bytes.Reader); ok && b.Len() <= InitialCredit {
 		_, err := b.WriteTo(c.stream)
 		c.endBody(err)
 		return
