Apply the usage caps of tenants

Cause: the cap of a tenant has to hold over all nodes together.

Returning the body's bytes first: net/http reads up to 256 KB of the body before it sends a response, so that 429 like 401 is sent ahead of it.

Change: a request of a tenant with rate_per_s takes a token before its body is read, from the node's balance or from an allotter, which is asked by the control message QUOTA. A request that is refused without having run returns its token. Allotters start and stop with the grants of the host's target. Without a keyed service each node applies its share of the cap. A relayed request counts as a control message only if it names no service: before, a caller's request with the method POLL or REPORT was taken for one.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -108,6 +108,17 @@
 	return nil
 }
 
+// FirstKeyedService returns the first keyed service by name, "" if there is none.
+func (c *Config) FirstKeyedService() string {
+	first := ""
+	for name, s := range c.Services {
+		if s.Keyed && (first == "" || name < first) {
+			first = name
+		}
+	}
+	return first
+}
+
 // RouteNames returns the set of the names of all routes.
 func (c *Config) RouteNames() map[string]bool {
 	names := map[string]bool{}
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -110,10 +110,8 @@
 	waiters        []*Waiter
 	allotters      [AllottersPerTenant]allotter
 	asking         bool
-	// answeredAt is when an allotter answered last.
-	answeredAt clock.Instant
-	arrivals   average
-	granted    average
+	arrivals       average
+	granted        average
 	// lastHint is the last instant at which a refused request was told to come back.
 	lastHint clock.Instant
 }
@@ -181,22 +179,23 @@
 	c.grants[i] = g
 }
 
-// Wait makes a request for which there is no token wait for one. The caller calls NextAsk, and Cancel after the patience.
+// Wait makes a request for which there is no token wait for one. The caller calls NextAsk, and Cancel when the patience is over.
 func (c *Client) Wait(received clock.Instant) *Waiter {
 	w := &Waiter{deadline: received.Add(c.patience), decided: make(chan struct{})}
 	c.waiters = append(c.waiters, w)
 	return w
 }
 
-// Cancel ends the wait of a request. It returns false if the request has been decided.
-func (c *Client) Cancel(w *Waiter) bool {
+// Cancel ends the wait of a request, which is refused unless it has been decided.
+func (c *Client) Cancel(now clock.Instant, w *Waiter) {
 	for i, other := range c.waiters {
 		if other == w {
 			c.waiters = append(c.waiters[:i:i], c.waiters[i+1:]...)
-			return true
+			w.refusal = c.refuse(now, w)
+			close(w.decided)
+			return
 		}
 	}
-	return false
 }
 
 // NextAsk returns the next call to make, the allotters in the given order of preference. The caller reports its end through Answer or
@@ -213,7 +212,7 @@
 		}, true
 	}
 	for _, w := range c.waiters {
-		w.refusal = c.Refuse(now)
+		w.refusal = c.refuse(now, w)
 		close(w.decided)
 	}
 	c.waiters = nil
@@ -249,7 +248,6 @@
 			w.misses++
 		}
 	}
-	c.answeredAt = now
 	if expires := a.Sent.Add(c.life); granted > 0 && now < expires {
 		c.granted.add(now, float64(granted))
 		c.addGrant(grant{granted, expires})
@@ -261,11 +259,11 @@
 	for len(c.waiters) > 0 {
 		w := c.waiters[0]
 		if now > w.deadline {
-			w.refusal = c.Refuse(now)
+			w.refusal = c.refuse(now, w)
 		} else if token, ok := c.take(now); ok {
 			w.token = token
 		} else if w.misses >= AllottersPerTenant {
-			w.refusal = c.Refuse(now)
+			w.refusal = c.refuse(now, w)
 		} else {
 			return
 		}
@@ -284,8 +282,8 @@
 	c.allotters[a.Index].pausedUntil = now.Add(pause)
 }
 
-// Refuse returns the refusal of a request that gets no token now.
-func (c *Client) Refuse(now clock.Instant) *Refusal {
+// refuse returns the refusal of a request that gets no token. The cap is the reason only if an allotter has said that it lacks tokens.
+func (c *Client) refuse(now clock.Instant, w *Waiter) *Refusal {
 	next := clock.Instant(math.MaxInt64)
 	for _, a := range c.allotters {
 		if a.emptyUntil > now {
@@ -293,7 +291,7 @@
 		}
 	}
 	if next == math.MaxInt64 {
-		if now.Sub(c.answeredAt) > c.patience {
+		if w.misses == 0 {
 			return &Refusal{Unavailable: true, RetryAfter: unavailableRetryAfter}
 		}
 		next = now
--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -17,6 +17,7 @@
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/ingress"
+	"github.com/citronvane/citronvane/internal/quota"
 	"github.com/citronvane/citronvane/internal/tenant"
 	"github.com/citronvane/citronvane/platform"
 )
@@ -99,7 +100,10 @@
 	// tenant is the tenant of the request, nil if it has none.
 	tenant *tenant.Tenant
 	// rank is the priority of the request; 0 is the highest.
-	rank    int
+	rank int
+	// quota and token are set if the request has taken a token of its tenant.
+	quota   *tenantQuota
+	token   quota.Token
 	service string
 	id      string
 	key     int
@@ -167,12 +171,21 @@
 	}
 	ctx, cancel := context.WithTimeoutCause(r.Context(), x.deadline.Sub(now), errDeadline)
 	defer cancel()
+	if refused := e.quotas.acquire(ctx, x); refused != nil {
+		e.writeRefusal(w, x, refused)
+		return
+	}
 	if err := e.readBody(r, x); err != nil {
+		e.quotas.release(x)
 		e.writeRefusal(w, x, &refusal{answer.BadRequest, 0, "body_unreadable"})
 		return
 	}
 	e.retryBudget(x.service).RecordRequest(now)
-	e.writeResult(ctx, w, x, e.forward(ctx, x))
+	res := e.forward(ctx, x)
+	if res.refusal != nil {
+		e.quotas.release(x)
+	}
+	e.writeResult(ctx, w, x, res)
 }
 
 // parseRequest validates an HTTP request and returns its exchange, or a refusal.
@@ -343,6 +356,9 @@
 	case http.StatusUnauthorized:
 		platform.SetAuthenticate(w.Header())
 		respondBeforeBody(w)
+	case http.StatusTooManyRequests:
+		respondBeforeBody(w)
+		fallthrough
 	case http.StatusServiceUnavailable:
 		// Jitter spreads the retries of callers that were refused at the same time.
 		after := max(r.retryAfter, minRetryAfter)
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -97,7 +97,11 @@
 
 // ServeRelay serves requests and control messages from other nodes.
 func (g *gate) ServeRelay(ctx context.Context, r *relay.Request, w relay.ResponseWriter) error {
-	if r.Head.Method == methodPoll || r.Head.Method == methodReport {
+	control := r.Head.Service == "" // A caller's request names a service and may have any method.
+	if control && r.Head.Method == methodQuota {
+		return g.quotas.serveMessage(r.Body, w)
+	}
+	if control && (r.Head.Method == methodPoll || r.Head.Method == methodReport) {
 		data, err := g.handleMessage(ctx, r.Head, r.Body)
 		if err != nil {
 			return err
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -193,6 +193,7 @@
 		o.serving = true
 	}
 	m.state.localTarget.Store(o)
+	m.quotas.updateAllotters(now)
 	m.state.notify()
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -36,6 +36,7 @@
 const (
 	methodPoll   = "POLL"
 	methodReport = "REPORT"
+	methodQuota  = "QUOTA"
 )
 
 // relaySecret distinguishes citronvane nodes from other programs on the port. It does not protect against attackers: the platform
@@ -63,6 +64,7 @@
 
 	departures    departures
 	crashes       *crashWatch
+	quotas        *quotas
 	ctx           context.Context
 	controlEvents chan func(now clock.Instant)
 	gate          *gate
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -186,6 +186,7 @@
 	if old != nil && next.Version <= old.Version {
 		return // Never return to an older version, even if the store object is newer.
 	}
+	n.quotas.applyConfig(next)
 	n.state.config.Store(next)
 	n.state.configDocument.Store(documentForNodes(o, next.Tenants != nil))
 	n.state.configVersion.Store(o.Version)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -59,6 +59,7 @@
 	n.memory = newMemoryGuard(s.MemoryMB)
 	n.crashes = newCrashWatch(n.processIncarnation)
 	n.store = platform.NewStore(s.Store.Address, n.observeStoreCall)
+	n.quotas = newQuotas(n)
 	n.gate = newGate(n)
 	n.entrance = newEntrance(n)
 	n.member = newMember(n)
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -28,14 +28,14 @@
 	Name string
 	// Priority is the priority; 0 is the highest.
 	Priority int
-	// RatePerSecond and Burst are the usage cap. The tenant is not capped if either is 0.
+	// RatePerSecond and Burst are the usage cap. The tenant is not capped if RatePerSecond is 0.
 	RatePerSecond, Burst float64
 	// level is the position of the priority among those of all tenants.
 	level int
 }
 
 // Capped reports whether the tenant has a usage cap.
-func (t *Tenant) Capped() bool { return t.RatePerSecond > 0 && t.Burst > 0 }
+func (t *Tenant) Capped() bool { return t.RatePerSecond > 0 }
 
 // Digest is the SHA-256 digest of an API key.
 type Digest [sha256.Size]byte
