Share the starts of one priority among tenants

Cause: a tenant that sends many times its usual load fills the queue of its priority, so that the requests of other tenants are refused on arrival or wait behind it.

Ruled out: turns by the number of requests, because a tenant whose requests take longer would get more of the target.

Change: within a class the tenant with the least started work comes next (start-time fair queueing), and the expected wait counts of each other tenant only the requests that start before if all take turns. Requests without a tenant count as one tenant. With one tenant, or none, requests start in the order of their arrival as before. The gate reads the tenant from the relayed Tenant-Id if its configuration knows it.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -46,6 +46,8 @@
 // Request describes a request that asks for admission.
 type Request struct {
 	Route string
+	// Tenant is the tenant whose request it is, "" if it has none. Tenants share the starts of a priority fairly.
+	Tenant string
 	// Priority is the priority; 0 is the highest.
 	Priority int
 	// Objective is the latency objective of the route.
@@ -99,6 +101,7 @@
 	slots   int
 	running int
 	queue   [priorityClasses][]*Ticket
+	fair    [priorityClasses]fairQueue
 	waiting int
 	// serviceTimes holds the mean service time of each route in seconds, normalised to the baseline pace.
 	// meanServiceTime is the mean over all routes at the pace that the requests ran at.
@@ -173,6 +176,7 @@
 	t := &Ticket{Request: r, arrived: now, lateOnArrival: late, decided: make(chan struct{})}
 	k := priorityClass(r.Priority)
 	c.queue[k] = append(c.queue[k], t)
+	c.fair[k].add(r.Tenant)
 	c.waiting++
 	return t, nil
 }
@@ -230,8 +234,9 @@
 // expectedWait returns the expected time in seconds until the request starts, and the reason of a refusal because of
 // it.
 func (c *Scheduler) expectedWait(now clock.Instant, r *Request, service float64) (float64, Reason) {
-	ahead := 0
-	for k := 0; k <= priorityClass(r.Priority); k++ {
+	class := priorityClass(r.Priority)
+	ahead := c.fair[class].ahead(r.Tenant)
+	for k := range class {
 		ahead += len(c.queue[k])
 	}
 	wait, reason := 0.0, Overload
@@ -240,7 +245,7 @@
 		if mean == 0 {
 			mean = service
 		}
-		wait = float64(excess) * mean / (float64(c.slots) * (1 - min(c.higherPriorityShare[priorityClass(r.Priority)], maxHigherPriorityShare)))
+		wait = float64(excess) * mean / (float64(c.slots) * (1 - min(c.higherPriorityShare[class], maxHigherPriorityShare)))
 	}
 	if coldWait := c.cold.wait(now, ahead); coldWait > wait {
 		wait, reason = coldWait, Cold
@@ -321,19 +326,16 @@
 	return nil
 }
 
-// takeNext removes and returns the request to start: by class, requests that can still meet their objective first. It
-// skips deferred requests.
+// takeNext removes and returns the request to start: by class, requests that can still meet their objective first, and
+// within a class by tenant. It skips deferred requests.
 func (c *Scheduler) takeNext(now clock.Instant) *Ticket {
 	for _, inTime := range []bool{true, false} {
 		for k := range c.queue {
-			for i, t := range c.queue[k] {
-				if c.deferFor(now, &t.Request) > 0 {
-					continue
-				}
-				if !inTime || now.Add(seconds(c.serviceTime(&t.Request))) <= t.SoftDeadline {
-					c.remove(k, i)
-					return t
-				}
+			if i := c.pick(now, k, inTime); i >= 0 {
+				t := c.queue[k][i]
+				c.remove(k, i)
+				c.fair[k].start(t.Tenant, c.serviceTime(&t.Request))
+				return t
 			}
 		}
 	}
@@ -341,6 +343,7 @@
 }
 
 func (c *Scheduler) remove(k, i int) {
+	c.fair[k].remove(c.queue[k][i].Tenant)
 	c.queue[k] = append(c.queue[k][:i:i], c.queue[k][i+1:]...)
 	c.waiting--
 }
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -326,7 +326,7 @@
 		transferDelay = g.link.TransferDelay(j.arrived, j.head.Route, time.Duration(serviceTime*float64(time.Second)))
 	}
 	ticket, refused, err := g.dispatch.Acquire(ctx, dispatch.Request{
-		Route: j.head.Route, Priority: int(j.head.Rank), Objective: objective, SoftDeadline: j.softDeadline.Add(-transferDelay), Deadline: j.deadline.Add(-transferDelay),
+		Route: j.head.Route, Tenant: g.tenantOf(j.head), Priority: int(j.head.Rank), Objective: objective, SoftDeadline: j.softDeadline.Add(-transferDelay), Deadline: j.deadline.Add(-transferDelay),
 	})
 	if err != nil {
 		return nil, contextRefusal(ctx)
--- a/internal/sidecar/tenants.go
+++ b/internal/sidecar/tenants.go
@@ -6,6 +6,7 @@
 	"github.com/citronvane/citronvane/internal/answer"
 	"github.com/citronvane/citronvane/internal/ingress"
 	"github.com/citronvane/citronvane/internal/store"
+	"github.com/citronvane/citronvane/internal/wire"
 	"github.com/citronvane/citronvane/platform"
 )
 
@@ -47,6 +48,20 @@
 	}
 }
 
+// tenantOf returns the name of the tenant of a relayed request, "" if it has none or the configuration does not know it.
+func (g *gate) tenantOf(head *wire.RequestHead) string {
+	config := g.state.config.Load()
+	if config == nil || config.Tenants == nil {
+		return ""
+	}
+	for _, h := range head.Headers {
+		if h.Name == platform.HeaderTenant && config.Tenants.Find(h.Value) != nil {
+			return h.Value
+		}
+	}
+	return ""
+}
+
 // hasTenants reports whether the configuration has tenants.
 func (s *state) hasTenants() bool {
 	config := s.config.Load()
