--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -53,6 +53,7 @@
 	// callerTimeouts estimates the timeouts of the callers of each route.
 	callerTimeouts map[string]*ingress.RequestAgeEstimator
 	idle           *idleConns
+	tenantLabels   tenantLabels
 }
 
 func newEntrance(n *node) *entrance {
@@ -185,6 +186,7 @@
 	if res.refusal != nil {
 		e.quotas.release(x)
 	}
+	e.countTenantResult(x, res)
 	e.writeResult(ctx, w, x, res)
 }
 
@@ -343,8 +345,9 @@
 	}
 	e.metrics.countRefusal("entrance", r.reason)
 	e.metrics.recordRequest(name, "refused", e.clock.Now().Sub(x.arrived))
+	e.countTenantRefusal(x, r)
 	kind := event.RequestRefused
-	if status < http.StatusInternalServerError {
+	if status < http.StatusInternalServerError && status != http.StatusTooManyRequests {
 		kind = event.RequestInvalid
 	}
 	e.lines.logLimited(func(l *logger) {
@@ -376,6 +379,9 @@
 	if x.route != nil {
 		l.Str("route", x.route.Name)
 	}
+	if x.tenant != nil {
+		l.Str("tenant", e.tenantLabels.label(x.tenant.Name))
+	}
 	if res.host != "" {
 		l.Str("host", res.host)
 	}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -28,8 +28,8 @@
 	provider *sdk.MeterProvider
 	storeUp  atomic.Bool
 
-	requests, refusals, storeCalls, heartbeats, rangeMoves, retries, paceProbes, panics metric.Int64Counter
-	latency, runDuration                                                                metric.Float64Histogram
+	requests, refusals, storeCalls, heartbeats, rangeMoves, retries, paceProbes, panics, tenantRequests, quotaCalls metric.Int64Counter
+	latency, runDuration                                                                                            metric.Float64Histogram
 }
 
 func newMetrics() (*metrics, error) {
@@ -60,6 +60,8 @@
 	m.rangeMoves = counter("citronvane.ranges.moved", "changes of ranges written by this node, by service")
 	m.paceProbes = counter("citronvane.pace.questions", "questions to the target how long work takes at this moment, by outcome")
 	m.retries = counter("citronvane.repeats", "requests sent once more, by reason")
+	m.tenantRequests = counter("citronvane.tenant.requests", "requests by tenant and outcome; few tenants are named, the others count as other")
+	m.quotaCalls = counter("citronvane.quota.calls", "calls to allotters for tokens, by outcome")
 	m.panics = counter("citronvane.panics", "panics that were contained, by task")
 	m.latency = histogram("citronvane.request.duration", "time from the request to its answer at the entrance")
 	m.runDuration = histogram("citronvane.run.duration", "time that the host's target took")
@@ -87,6 +89,14 @@
 	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(label("call", call), label("outcome", outcome)))
 }
 
+func (m *metrics) countTenantRequest(tenant, outcome string) {
+	m.tenantRequests.Add(context.Background(), 1, metric.WithAttributes(label("tenant", tenant), label("outcome", outcome)))
+}
+
+func (m *metrics) countQuotaCall(outcome string) {
+	m.quotaCalls.Add(context.Background(), 1, metric.WithAttributes(label("outcome", outcome)))
+}
+
 func (m *metrics) countPanic(task string) {
 	m.panics.Add(context.Background(), 1, metric.WithAttributes(label("task", task)))
 }
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -190,7 +190,7 @@
 	n.state.config.Store(next)
 	n.state.configDocument.Store(documentForNodes(o, next.Tenants != nil))
 	n.state.configVersion.Store(o.Version)
-	event.ConfigApplied.On(n.log).Uint64("version", next.Version).Uint64("revision", o.Version).Send()
+	event.ConfigApplied.On(n.log).Uint64("version", next.Version).Uint64("revision", o.Version).Int("tenants", len(next.Tenants.Tenants())).Send()
 	n.entrance.applyConfig(next)
 	n.gate.applyConfig(next)
 }
--- a/internal/sidecar/quota.go
+++ b/internal/sidecar/quota.go
@@ -244,6 +244,7 @@
 		var reply quotaReply
 		reached := false
 		q.protect("quota", func() { reply, reached = q.call(t, a) })
+		q.metrics.countQuotaCall(callOutcome(a, reply, reached))
 		t.mu.Lock()
 		now := q.clock.Now()
 		if reached && reply.Runs {
@@ -260,6 +261,19 @@
 	}
 }
 
+// callOutcome names the outcome of a call for the metrics.
+func callOutcome(a quota.Ask, reply quotaReply, reached bool) string {
+	switch {
+	case !reached:
+		return "unreachable"
+	case !reply.Runs:
+		return "moved"
+	case reply.Granted < a.Needed:
+		return "empty"
+	}
+	return "granted"
+}
+
 // quotaRequest asks an allotter for tokens.
 type quotaRequest struct {
 	Tenant string `json:"tenant"`
--- a/internal/sidecar/tenants_test.go
+++ b/internal/sidecar/tenants_test.go
@@ -200,3 +200,16 @@
 		require.Equal(t, method+" /p/x {}", string(body), "the target answers")
 	}
 }
+
+// Guards against labels of metrics that grow with the number of tenants.
+func TestFewTenantsAreNamed(t *testing.T) {
+	var labels tenantLabels
+	names := map[string]bool{}
+	for range 2 {
+		for i := range 100 {
+			names[labels.label(fmt.Sprint(i))] = true
+		}
+	}
+	require.Len(t, names, maxNamedTenants+1)
+	require.Contains(t, names, otherTenants)
+}
