Merge tenants and usage caps

Conflicts: the caps are asked before the body is read and held; a token comes back for a refusal, not for a body that broke off after it had been sent on.

--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -17,6 +17,7 @@
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/ingress"
 	"github.com/citronvane/citronvane/internal/memory"
+	"github.com/citronvane/citronvane/internal/quota"
 	"github.com/citronvane/citronvane/internal/tenant"
 	"github.com/citronvane/citronvane/platform"
 )
@@ -52,6 +53,7 @@
 	// callerTimeouts estimates the timeouts of the callers of each route.
 	callerTimeouts map[string]*ingress.RequestAgeEstimator
 	idle           *idleConns
+	tenantLabels   tenantLabels
 }
 
 func newEntrance(n *node) *entrance {
@@ -99,7 +101,10 @@
 	// tenant is the tenant of the request, nil if it has none.
 	tenant *tenant.Tenant
 	// rank is the priority of the request; 0 is the highest.
-	rank    int
+	rank int
+	// quota and token are set if the request has taken a token of its tenant.
+	quota   *tenantQuota
+	token   quota.Token
 	service string
 	id      string
 	key     int
@@ -175,16 +180,25 @@
 	defer cancel()
 	x.conn, x.hold.Account = callerConnOf(r.Context()), e.account
 	defer x.release()
+	if refused := e.quotas.acquire(ctx, x); refused != nil {
+		e.writeRefusal(w, x, refused)
+		return
+	}
 	if refused := e.readBody(r, x); refused != nil {
+		e.quotas.release(x)
 		x.closeUnread(w)
 		e.writeRefusal(w, x, refused)
 		return
 	}
 	e.retryBudget(x.service).RecordRequest(now)
 	res := e.forward(memory.WithHold(ctx, &x.hold), x)
+	if res.refusal != nil {
+		e.quotas.release(x)
+	}
 	if refused := x.streamFailure(w, res); refused != nil {
 		res = &result{refusal: refused}
 	}
+	e.countTenantResult(x, res)
 	e.writeResult(ctx, w, x, res)
 }
 
@@ -321,8 +335,9 @@
 	}
 	e.metrics.countRefusal("entrance", r.reason)
 	e.metrics.recordRequest(name, "refused", e.clock.Now().Sub(x.arrived))
+	e.countTenantRefusal(x, r)
 	kind := event.RequestRefused
-	if status < http.StatusInternalServerError {
+	if status < http.StatusInternalServerError && status != http.StatusTooManyRequests {
 		kind = event.RequestInvalid
 	}
 	e.lines.logLimited(func(l *logger) {
@@ -334,6 +349,9 @@
 	case http.StatusUnauthorized:
 		platform.SetAuthenticate(w.Header())
 		respondBeforeBody(w)
+	case http.StatusTooManyRequests:
+		respondBeforeBody(w)
+		fallthrough
 	case http.StatusServiceUnavailable:
 		// Jitter spreads the retries of callers that were refused at the same time.
 		after := max(r.retryAfter, minRetryAfter)
@@ -351,6 +369,9 @@
 	if x.route != nil {
 		l.Str("route", x.route.Name)
 	}
+	if x.tenant != nil {
+		l.Str("tenant", e.tenantLabels.label(x.tenant.Name))
+	}
 	if res.host != "" {
 		l.Str("host", res.host)
 	}
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -98,7 +98,11 @@
 
 // ServeRelay serves requests and control messages from other nodes.
 func (g *gate) ServeRelay(ctx context.Context, r *relay.Request, w relay.ResponseWriter) error {
-	if r.Head.Method == methodPoll || r.Head.Method == methodReport {
+	control := r.Head.Service == "" // A caller's request names a service and may have any method.
+	if control && r.Head.Method == methodQuota {
+		return g.quotas.serveMessage(r.Body, w)
+	}
+	if control && (r.Head.Method == methodPoll || r.Head.Method == methodReport) {
 		data, err := g.handleMessage(ctx, r.Head, r.Body)
 		if err != nil {
 			return err
@@ -330,7 +334,7 @@
 		deadline = deadline.Add(-transferDelay - returnTime)
 	}
 	ticket, refused, err := g.dispatch.Acquire(ctx, dispatch.Request{
-		Route: j.head.Route, Priority: int(j.head.Rank), Objective: objective, Deadline: deadline,
+		Route: j.head.Route, Tenant: g.tenantOf(j.head), Priority: int(j.head.Rank), Objective: objective, Deadline: deadline,
 		SoftDeadline: min(j.softDeadline.Add(-transferDelay), deadline), // A caller may wait for less than the objective.
 	})
 	if err != nil {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -62,6 +62,7 @@
 	n.callers = newConnTable(s, n.account)
 	n.crashes = newCrashWatch(n.processIncarnation)
 	n.store = platform.NewStore(s.Store.Address, n.observeStoreCall)
+	n.quotas = newQuotas(n)
 	n.gate = newGate(n)
 	n.entrance = newEntrance(n)
 	n.member = newMember(n)
