Account for the relay's send buffers of streamed bodies

A streamed body was charged 64 KiB, but its bytes are in both send buffers of the relay connection, which grow while they fill, and in copy buffers. A trace of the collector showed the heap growing from 10 to 23 MB within one collection at the beginning of such a load.

Change: a streamed body is charged 192 KiB at the entrance and 96 KiB at the gate of another node.

--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -21,10 +21,11 @@
 	bodyPieceBytes = 32 << 10
 	// firstPieceBytes is the first piece of a body of unknown length; most are small.
 	firstPieceBytes = 4 << 10
-	// streamBytes is what a streamed body takes at the entrance: the copy buffers and what the relay holds.
-	streamBytes = 64 << 10
-	// relayWindowBytes is what the relay holds of a body that is not read.
-	relayWindowBytes = relay.InitialCredit
+	// streamBytes is what a streamed body takes at the entrance: the copy buffers, and the relay's credit in both send buffers of the
+	// connection to the other node.
+	streamBytes = 2*bodyPieceBytes + 2*relay.InitialCredit
+	// relayWindowBytes is what the relay holds of a body that is not read, with the copy buffer of its reader.
+	relayWindowBytes = relay.InitialCredit + bodyPieceBytes
 	// memoryWait bounds how long a body waits unread for room in the memory account, relayMemoryWait the same for one from another node,
 	// of which the relay reads up to relayWindowBytes meanwhile.
 	memoryWait      = 500 * time.Millisecond
