Rank calls of the target by the work they are made for

Cause: a lookup that a target makes while it runs a request has the rank of its own route, so that lookups for the least urgent work take the place of the most urgent requests. And work runs to the point where its lookup is refused, which loses it.

Change: package nested learns which routes the runs of each route call, from requests without a key and an API key that arrive at the entrance while the host's target runs others. A call has the less urgent of its route's rank and the rank of the most urgent running request that may have made it. While calls are refused, the gate refuses a share of the requests of the least urgent rank that make them (reason calls_refused), with a time to return, and the entrance does not try other hosts. The share is at most the share of lost runs and at most 0.4. The most urgent rank is never refused. Without such calls nothing changes.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"math"
 	"sort"
 	"strings"
 	"time"
@@ -113,6 +114,17 @@
 	return names
 }
 
+// MostUrgentRank returns the lowest priority number of all routes.
+func (c *Config) MostUrgentRank() int {
+	rank := math.MaxInt
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			rank = min(rank, r.Priority)
+		}
+	}
+	return rank
+}
+
 // SelectService returns the service that gets the request. Requests with the same id always go to the same service.
 func (r *Route) SelectService(id string) string {
 	if len(r.Services) == 1 || r.totalWeight <= 0 {
--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -115,6 +115,9 @@
 	// the request anyway, because no other target accepted it.
 	slowTarget *fleet.Target
 	mustRun    bool
+	// nested says that the host's target may have made the request while it runs others; callRank is then the rank of that work.
+	nested   bool
+	callRank int
 	// moveCost is the cost in time of moving the request from the selected target to another one, 0 if there is no other.
 	moveCost time.Duration
 }
@@ -167,7 +170,10 @@
 		return
 	}
 	e.retryBudget(x.service).RecordRequest(now)
-	e.writeResult(ctx, w, x, e.forward(ctx, x))
+	e.rankCall(x)
+	res := e.forward(ctx, x)
+	e.recordCall(x, res)
+	e.writeResult(ctx, w, x, res)
 }
 
 // parseRequest validates an HTTP request and returns its exchange, or a refusal.
@@ -208,6 +214,7 @@
 		return x, &refusal{answer.Draining, restartTime, "node_stops"}
 	}
 	x.service = x.route.SelectService(x.id)
+	x.nested = isNestedCall(r.Header, meta)
 	if x.key >= 0 {
 		x.priorWait = e.callerTimeout(x.route.Name).Age(meta.Timeout) // Requests from targets have no key and end with their parent.
 	}
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -17,6 +17,7 @@
 	"github.com/citronvane/citronvane/internal/dispatch"
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/ingress"
+	"github.com/citronvane/citronvane/internal/nested"
 	"github.com/citronvane/citronvane/internal/relay"
 	"github.com/citronvane/citronvane/internal/upstream"
 	"github.com/citronvane/citronvane/internal/wire"
@@ -66,12 +67,14 @@
 	link          *dispatch.Link
 	linkScheduler *dispatch.ChunkScheduler
 	demand        demand.Meter
+	// calls tracks the requests that the target makes while it runs others.
+	calls *nested.Tracker
 	// overloaded counts requests refused for overload since the last control tick.
 	overloaded atomic.Int64
 }
 
 func newGate(n *node) *gate {
-	g := &gate{node: n, link: dispatch.NewLink(n.settings.LinkMbps)}
+	g := &gate{node: n, link: dispatch.NewLink(n.settings.LinkMbps), calls: nested.NewTracker()}
 	g.dispatch = dispatch.NewController(n.clock, 1, g.probeTarget)
 	g.linkScheduler = dispatch.NewChunkScheduler(n.clock, g.link.BytesPerSecond())
 	return g
@@ -81,6 +84,7 @@
 func (g *gate) applyConfig(c *ingress.Config) {
 	names := c.RouteNames()
 	g.link.RetainRoutes(names)
+	g.calls.Retain(names, c.MostUrgentRank())
 	own, stated := c.Services[g.settings.Service]
 	g.dispatch.Update(func(_ clock.Instant, core *dispatch.Scheduler) {
 		core.RetainRoutes(names)
@@ -310,6 +314,9 @@
 
 // admit waits for a concurrency slot of the target.
 func (g *gate) admit(ctx context.Context, j *job) (*dispatch.Ticket, *refusal) {
+	if refused := g.refuseForCalls(j); refused != nil {
+		return nil, refused
+	}
 	objective := j.objective()
 	_, serviceTimes := g.dispatch.Stats()
 	serviceTime, known := serviceTimes[j.head.Route]
@@ -369,7 +376,9 @@
 		defer g.link.End(g.link.Begin(j.head.Route))
 	}
 	started := g.clock.Now()
+	g.calls.Begin(j.head.Route, int(j.head.Rank))
 	a, err := g.upstream.Do(ctx, request)
+	g.calls.End(g.clock.Now(), j.head.Route, int(j.head.Rank))
 	var meta platform.Response
 	if err == nil {
 		meta = platform.ReadResponse(a.Status, a.Header)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -28,8 +28,8 @@
 	provider *sdk.MeterProvider
 	storeUp  atomic.Bool
 
-	requests, refusals, storeCalls, heartbeats, rangeMoves, retries, paceProbes, panics metric.Int64Counter
-	latency, runDuration                                                                metric.Float64Histogram
+	requests, refusals, storeCalls, heartbeats, rangeMoves, retries, paceProbes, panics, nestedCalls metric.Int64Counter
+	latency, runDuration                                                                             metric.Float64Histogram
 }
 
 func newMetrics() (*metrics, error) {
@@ -60,6 +60,7 @@
 	m.rangeMoves = counter("citronvane.ranges.moved", "changes of ranges written by this node, by service")
 	m.paceProbes = counter("citronvane.pace.questions", "questions to the target how long work takes at this moment, by outcome")
 	m.retries = counter("citronvane.repeats", "requests sent once more, by reason")
+	m.nestedCalls = counter("citronvane.nested.calls", "requests that the host's target makes while it runs others, by rank: of their route, or of less urgent work")
 	m.panics = counter("citronvane.panics", "panics that were contained, by task")
 	m.latency = histogram("citronvane.request.duration", "time from the request to its answer at the entrance")
 	m.runDuration = histogram("citronvane.run.duration", "time that the host's target took")
@@ -103,6 +104,14 @@
 	m.retries.Add(context.Background(), 1, metric.WithAttributes(label("reason", reason)))
 }
 
+func (m *metrics) countCall(lessUrgent bool) {
+	rank := "route"
+	if lessUrgent {
+		rank = "work"
+	}
+	m.nestedCalls.Add(context.Background(), 1, metric.WithAttributes(label("rank", rank)))
+}
+
 func (m *metrics) countPaceProbe(err error) {
 	outcome := "answered"
 	if err != nil {
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -202,6 +202,9 @@
 		}
 		return e.waitForNewOwner(ctx, x, t)
 	}
+	if r.reason == reasonCallsRefused {
+		return false // Its calls would be refused at another host, too.
+	}
 	tried[t.Host] = true
 	if r.reason == reasonTargetSlow && x.slowTarget == nil {
 		x.slowTarget = t
@@ -273,7 +276,7 @@
 	head := &wire.RequestHead{
 		Service: x.service, Method: x.method, Path: x.path, Headers: relay.FromHTTP(x.header),
 		TimeoutMs:     max(1, x.deadline.Sub(now).Milliseconds()),
-		ContentLength: x.length, Entrance: e.settings.Node, Route: x.route.Name, Rank: int32(x.route.Priority),
+		ContentLength: x.length, Entrance: e.settings.Node, Route: x.route.Name, Rank: int32(max(x.route.Priority, x.callRank)),
 		ObjectiveMs: x.route.Objective.Milliseconds(), ElapsedMs: (now.Sub(x.arrived) + x.priorWait).Milliseconds(),
 		Repeatable: x.route.Kind.Repeatable(), CallerService: e.settings.Service, RequestId: x.id,
 	}
