Tell refused callers to return when there is room

Cause: callers that are refused during a burst were told to return after 0.5 to 1 latency objectives, while the burst still went on. Callers retry once, so that a second refusal loses the request.

Change: the scheduler expects the arriving work (its usual rate, and the current one, which falls back to it) and reserves slot time for callers that were told to return. A refused caller gets the first time with room from the former time on, and, if there is none within the time after which it would not retry, the latest time at which it does. Reservations expire with their time and end 3.2 s ahead. Cold targets keep the former times.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -111,6 +111,9 @@
 	higherPriorityShare [priorityClasses]float64
 
 	cold coldPacer
+	room roomPlan
+	// fixedRetryAfter gives refused callers a time that depends on their own delay only, for comparisons.
+	fixedRetryAfter bool
 }
 
 // NewScheduler returns a scheduler for a target with the given number of slots.
@@ -158,6 +161,9 @@
 // Admit admits or refuses a request. An admitted request starts in this or a later Poll.
 func (c *Scheduler) Admit(now clock.Instant, r Request) (*Ticket, *Refusal) {
 	service := c.serviceTime(&r)
+	if r.SoftDeadline > now {
+		c.room.arrive(now, service) // A retry is late.
+	}
 	wait, reason := c.expectedWait(now, &r, service)
 	if deferral := c.deferFor(now, &r); deferral > 0 {
 		wait = max(wait, deferral)
@@ -167,7 +173,7 @@
 	finish := now.Add(seconds(wait + service))
 	late := now.Add(seconds(service)) > r.SoftDeadline && finish <= r.Deadline && seconds(wait) <= r.maxLateWait()
 	if overrun := finish.Add(seconds(serviceTimeMargin * service)).Sub(r.SoftDeadline); overrun > 0 && !late && (wait > 0 || finish > r.Deadline) {
-		return nil, &Refusal{Reason: reason, RetryAfter: retryAfter(overrun, r.Objective), ExpectedLatency: finish.Sub(now)}
+		return nil, &Refusal{Reason: reason, RetryAfter: c.retryTime(now, &r, overrun), ExpectedLatency: finish.Sub(now)}
 	}
 	t := &Ticket{Request: r, arrived: now, lateOnArrival: late, decided: make(chan struct{})}
 	k := priorityClass(r.Priority)
@@ -303,7 +309,7 @@
 		for i, t := range c.queue[k] {
 			if now > c.refusalDue(t) {
 				c.remove(k, i)
-				t.refused = &Refusal{Reason: Late, RetryAfter: retryAfter(0, t.Objective), ExpectedLatency: now.Sub(t.arrived)}
+				t.refused = &Refusal{Reason: Late, RetryAfter: c.retryTime(now, &t.Request, 0), ExpectedLatency: now.Sub(t.arrived)}
 				return t
 			}
 		}
