--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -18,6 +18,7 @@
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/ingress"
 	"github.com/citronvane/citronvane/internal/memory"
+	"github.com/citronvane/citronvane/internal/nested"
 	"github.com/citronvane/citronvane/internal/relay"
 	"github.com/citronvane/citronvane/internal/upstream"
 	"github.com/citronvane/citronvane/internal/wire"
@@ -67,12 +68,14 @@
 	link          *dispatch.Link
 	linkScheduler *dispatch.ChunkScheduler
 	demand        demand.Meter
+	// calls tracks the requests that the target makes while it runs others.
+	calls *nested.Tracker
 	// overloaded counts requests refused for overload since the last control tick.
 	overloaded atomic.Int64
 }
 
 func newGate(n *node) *gate {
-	g := &gate{node: n, link: dispatch.NewLink(n.settings.LinkMbps)}
+	g := &gate{node: n, link: dispatch.NewLink(n.settings.LinkMbps), calls: nested.NewTracker()}
 	g.dispatch = dispatch.NewController(n.clock, 1, g.probeTarget)
 	g.linkScheduler = dispatch.NewChunkScheduler(n.clock, g.link.BytesPerSecond())
 	return g
@@ -82,6 +85,7 @@
 func (g *gate) applyConfig(c *ingress.Config) {
 	names := c.RouteNames()
 	g.link.RetainRoutes(names)
+	g.calls.Retain(names, c.MostUrgentRank())
 	own, stated := c.Services[g.settings.Service]
 	g.dispatch.Update(func(_ clock.Instant, core *dispatch.Scheduler) {
 		core.RetainRoutes(names)
@@ -320,6 +324,9 @@
 
 // admit waits for a concurrency slot of the target.
 func (g *gate) admit(ctx context.Context, j *job) (*dispatch.Ticket, *refusal) {
+	if refused := g.refuseForCalls(j); refused != nil {
+		return nil, refused
+	}
 	objective := j.objective()
 	_, serviceTimes := g.dispatch.Stats()
 	serviceTime, known := serviceTimes[j.head.Route]
@@ -391,7 +398,9 @@
 		defer end()
 	}
 	started := g.clock.Now()
+	g.calls.Begin(j.head.Route, int(j.head.Rank))
 	a, err := g.upstream.Do(ctx, request)
+	g.calls.End(g.clock.Now(), j.head.Route, int(j.head.Rank))
 	var meta platform.Response
 	if err == nil {
 		meta = platform.ReadResponse(a.Status, a.Header)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -28,8 +28,8 @@
 	provider *sdk.MeterProvider
 	storeUp  atomic.Bool
 
-	requests, refusals, storeCalls, heartbeats, rangeMoves, retries, paceProbes, panics, tenantRequests, quotaCalls, endedCallers metric.Int64Counter
-	latency, runDuration                                                                                                          metric.Float64Histogram
+	requests, refusals, storeCalls, heartbeats, rangeMoves, retries, paceProbes, panics, tenantRequests, quotaCalls, endedCallers, nestedCalls metric.Int64Counter
+	latency, runDuration                                                                                                                       metric.Float64Histogram
 }
 
 func newMetrics() (*metrics, error) {
@@ -62,6 +62,7 @@
 	m.retries = counter("citronvane.repeats", "requests sent once more, by reason")
 	m.tenantRequests = counter("citronvane.tenant.requests", "requests by tenant and outcome; few tenants are named, the others count as other")
 	m.quotaCalls = counter("citronvane.quota.calls", "calls to allotters for tokens, by outcome")
+	m.nestedCalls = counter("citronvane.nested.calls", "requests that the host's target makes while it runs others, by rank: of their route, or of less urgent work")
 	m.panics = counter("citronvane.panics", "panics that were contained, by task")
 	m.endedCallers = counter("citronvane.callers.ended", "connections and requests of callers that were refused or ended because of the bounds on callers, by reason")
 	m.latency = histogram("citronvane.request.duration", "time from the request to its answer at the entrance")
@@ -118,6 +119,14 @@
 	m.retries.Add(context.Background(), 1, metric.WithAttributes(label("reason", reason)))
 }
 
+func (m *metrics) countCall(lessUrgent bool) {
+	rank := "route"
+	if lessUrgent {
+		rank = "work"
+	}
+	m.nestedCalls.Add(context.Background(), 1, metric.WithAttributes(label("rank", rank)))
+}
+
 func (m *metrics) countPaceProbe(err error) {
 	outcome := "answered"
 	if err != nil {
