Let predicted costs and remainders decide about admission and order at the gate

The scheduler knows a service time by route alone, so it admits, refuses and orders a request that costs 5 times the mean like any other, and expects a slot as soon as the mean says although all slots run long requests.

With a cost model (an interface that cost.Predictor implements) the scheduler tracks its running requests. The wait for a slot follows from their expected remainders. A request whose features explain its cost is admitted by its own expected cost, and starts before an earlier one that is expected to take twice as long, unless that one has waited for a quarter of its objective or would be late. Without a model nothing changes, and without explaining features only the wait does. Runs that started on a cold target are no samples; cut runs are lower bounds.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/cost"
 )
 
 const (
@@ -53,6 +54,9 @@
 	SoftDeadline clock.Instant
 	// Deadline is the time after which the caller no longer waits for the response.
 	Deadline clock.Instant
+	// Features are what the cost model knows of the request.
+	Features cost.Features
+	estimate cost.Estimate
 }
 
 // Ticket is an admitted request, waiting or running.
@@ -66,8 +70,10 @@
 	started       clock.Instant
 	// slowdown is the ratio of the current to the usual service time when the request started.
 	slowdown float64
-	running  bool
-	refused  *Refusal
+	// startedCold says that the target was cold when the request started.
+	startedCold bool
+	running     bool
+	refused     *Refusal
 }
 
 // Refusal returns the refusal of a decided ticket, or nil if the request runs.
@@ -111,6 +117,7 @@
 	higherPriorityShare [priorityClasses]float64
 
 	cold coldPacer
+	work workTracker
 }
 
 // NewScheduler returns a scheduler for a target with the given number of slots.
@@ -149,14 +156,16 @@
 
 // serviceTime returns the expected service time of a request in seconds.
 func (c *Scheduler) serviceTime(r *Request) float64 {
-	if t, ok := c.serviceTimes[r.Route]; ok {
-		return t
+	mean, ok := c.serviceTimes[r.Route]
+	if !ok {
+		mean = defaultServiceShare * r.Objective.Seconds()
 	}
-	return defaultServiceShare * r.Objective.Seconds()
+	return r.admissionTime(mean)
 }
 
 // Admit admits or refuses a request. An admitted request starts in this or a later Poll.
 func (c *Scheduler) Admit(now clock.Instant, r Request) (*Ticket, *Refusal) {
+	c.work.predict(&r)
 	service := c.serviceTime(&r)
 	wait, reason := c.expectedWait(now, &r, service)
 	if deferral := c.deferFor(now, &r); deferral > 0 {
@@ -183,6 +192,7 @@
 // ExpectedDelay returns how much longer than on an idle target at its baseline pace a request would take that arrives
 // now, because it waits for other requests or because neighbours on the host slow the target down.
 func (c *Scheduler) ExpectedDelay(now clock.Instant, r Request) time.Duration {
+	c.work.predict(&r)
 	service := c.serviceTime(&r)
 	wait, _ := c.expectedWait(now, &r, service)
 	if c.pace.slowRemaining(now) > 0 {
@@ -239,7 +249,11 @@
 		if mean == 0 {
 			mean = service
 		}
-		wait = float64(excess) * mean / (float64(c.slots) * (1 - min(c.higherPriorityShare[priorityClass(r.Priority)], maxHigherPriorityShare)))
+		wait = float64(excess) * mean / float64(c.slots)
+		if c.work.costs != nil && c.running >= c.slots {
+			wait = c.waitForSlot(now, priorityClass(r.Priority), ahead, mean)
+		}
+		wait /= 1 - min(c.higherPriorityShare[priorityClass(r.Priority)], maxHigherPriorityShare)
 	}
 	if coldWait := c.cold.wait(now, ahead); coldWait > wait {
 		wait, reason = coldWait, Cold
@@ -263,8 +277,9 @@
 		if t == nil {
 			break
 		}
-		t.started, t.running, t.slowdown = now, true, c.pace.slowdown(now)
+		t.started, t.running, t.slowdown, t.startedCold = now, true, c.pace.slowdown(now), c.cold.isCold(now)
 		c.running++
+		c.work.start(t)
 		c.recordStart(priorityClass(t.Priority))
 		c.cold.recordStart(now)
 		decided = append(decided, t)
@@ -330,6 +345,10 @@
 					continue
 				}
 				if !inTime || now.Add(seconds(c.serviceTime(&t.Request))) <= t.SoftDeadline {
+					if inTime {
+						i = c.overtaker(now, k, i)
+					}
+					t = c.queue[k][i]
 					c.remove(k, i)
 					return t
 				}
@@ -359,6 +378,7 @@
 // Done ends a running request. measured says that the time it ran counts as a sample of the target's service time.
 func (c *Scheduler) Done(now clock.Instant, t *Ticket, measured bool) {
 	c.running = max(0, c.running-1)
+	c.work.end(now, t, measured)
 	if !measured {
 		return
 	}
@@ -399,7 +419,12 @@
 
 // RetainRoutes drops the statistics of all routes not in the set, so that the state does not grow with configuration
 // changes.
-func (c *Scheduler) RetainRoutes(routes map[string]bool) { retainRoutes(c.serviceTimes, routes) }
+func (c *Scheduler) RetainRoutes(routes map[string]bool) {
+	retainRoutes(c.serviceTimes, routes)
+	if c.work.costs != nil {
+		c.work.costs.RetainRoutes(routes)
+	}
+}
 
 func retainRoutes(known map[string]float64, routes map[string]bool) {
 	maps.DeleteFunc(known, func(route string, _ float64) bool { return !routes[route] })
--- /dev/null
+++ b/internal/dispatch/work_test.go
@@ -0,0 +1,210 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronvane/citronvane/internal/cost"
+)
+
+// costLoad is a load on one target of 6 slots whose requests cost 100 ms on average and are due after 400 ms.
+type costLoad struct {
+	name string
+	// heavyShare is the share of requests that cost 3 to 7 times as much as the others, which cost 0.5 to 1.5 times the mean.
+	heavyShare float64
+	// explained says whether the caller's service tells the heavy requests from the others at the given time.
+	explained func(ms float64) bool
+	// factor multiplies the costs at the given time.
+	factor func(ms float64) float64
+	slow   bool // in a fifth of the time by a factor of 3
+}
+
+func always(float64) bool { return true }
+func never(float64) bool  { return false }
+
+const halfTime = 100_000
+
+var costLoads = []costLoad{
+	{name: "uniform", explained: never},
+	{name: "heavy tail, unexplained", heavyShare: 0.03, explained: never},
+	{name: "heavy tail, explained", heavyShare: 0.03, explained: always},
+	{name: "many heavy, explained", heavyShare: 0.15, explained: always},
+	{name: "misleading feature", heavyShare: 0.15, explained: func(ms float64) bool { return ms < halfTime }},
+	{name: "abrupt change", heavyShare: 0.03, explained: never, factor: func(ms float64) float64 {
+		if ms > halfTime {
+			return 2
+		}
+		return 1
+	}},
+	{name: "slow target", heavyShare: 0.03, explained: never, slow: true},
+}
+
+// costResult holds the shares of all requests and of the small ones that were served within the objective, that of heavy
+// ones that were served at all, and the 99th percentiles of the latency of the served ones.
+type costResult struct {
+	inTime, smallInTime, heavyServed float64
+	p99, smallP99                    time.Duration
+}
+
+func (r costResult) String() string {
+	return fmt.Sprintf("in time %.3f, small %.3f, heavy served %.3f, p99 %d ms, small %d ms", r.inTime, r.smallInTime, r.heavyServed, r.p99.Milliseconds(), r.smallP99.Milliseconds())
+}
+
+// simulateCosts simulates the load at the given utilisation. Without a cost model the target decides by the means of the
+// routes.
+func simulateCosts(l costLoad, utilisation float64, predicts bool) costResult {
+	random := rand.New(rand.NewPCG(1, 2))
+	c := NewScheduler(6)
+	if predicts {
+		c.SetCostModel(cost.NewPredictor())
+	}
+	slow := newSlowWindows(random, 2*halfTime)
+	mean := 100.0
+	if l.slow {
+		mean *= 1.4
+	}
+	var running completions
+	work, arrived := map[*Ticket]float64{}, map[*Ticket]float64{}
+	var latencies, smallLatencies []time.Duration
+	var total, inTime, small, smallInTime, heavy, heavyServed float64
+	factor := func(ms float64) float64 {
+		if l.factor != nil {
+			return l.factor(ms)
+		}
+		return 1
+	}
+	poll := func(ms float64) {
+		for _, t := range c.Poll(at(ms)) {
+			if t.refused != nil {
+				delete(work, t)
+				continue
+			}
+			took := work[t]
+			if l.slow {
+				took *= slow.slowdown(ms)
+			}
+			heap.Push(&running, completion{ms + took, t})
+		}
+	}
+	probe := func(from, until float64) { // Polls like Controller while requests wait for the end of a slow period.
+		for ; from < until; from += 5 {
+			if c.Deferring(at(from)) && c.BeginPaceProbe(at(from)) {
+				c.ObservePace(at(from), 100*slow.slowdown(from))
+				poll(from)
+			}
+		}
+	}
+	heavyCosts := map[*Ticket]bool{}
+	for ms := 0.0; ms < 2*halfTime; {
+		before := ms
+		ms += random.ExpFloat64() * mean * factor(ms) / 6 / utilisation
+		for len(running) > 0 && running[0].at <= ms {
+			e := heap.Pop(&running).(completion)
+			if l.slow {
+				probe(before, e.at)
+				c.ObservePace(at(e.at), 100*slow.slowdown(e.at))
+			}
+			before = e.at
+			c.Done(at(e.at), e.ticket, true)
+			took := time.Duration((e.at - arrived[e.ticket]) * float64(time.Millisecond))
+			latencies = append(latencies, took)
+			if heavyCosts[e.ticket] {
+				heavyServed++
+			} else {
+				smallLatencies = append(smallLatencies, took)
+			}
+			if at(e.at) <= e.ticket.SoftDeadline {
+				inTime++
+				if !heavyCosts[e.ticket] {
+					smallInTime++
+				}
+			}
+			delete(work, e.ticket)
+			poll(e.at)
+		}
+		probe(before, ms)
+		isHeavy := random.Float64() < l.heavyShare
+		took := 100 * (0.5 + random.Float64()) / (1 + 4*l.heavyShare) * factor(ms)
+		if isHeavy {
+			took *= 3 + 4*random.Float64()
+		}
+		caller := fmt.Sprint(random.IntN(2))
+		if l.explained(ms) {
+			caller = fmt.Sprint(isHeavy)
+		}
+		total++
+		if isHeavy {
+			heavy++
+		} else {
+			small++
+		}
+		r := request("r", 1, at(ms), 400*time.Millisecond, 1200*time.Millisecond)
+		r.Features = cost.NewFeatures("r", "GET", fmt.Sprint("/x/", random.Uint64()), caller, -1, 0)
+		if t, refusal := c.Admit(at(ms), r); refusal == nil {
+			work[t], arrived[t], heavyCosts[t] = took, ms, isHeavy
+			poll(ms)
+		}
+	}
+	r := costResult{inTime: inTime / total, smallInTime: smallInTime / small, heavyServed: 1, p99: quantile(latencies, 0.99), smallP99: quantile(smallLatencies, 0.99)}
+	if heavy > 0 {
+		r.heavyServed = heavyServed / heavy
+	}
+	return r
+}
+
+// Guards against a cost model that costs requests their objective where it has nothing to tell, and against a gate that makes
+// no use of costs that it can predict. Large requests must not starve.
+func TestCostModelOnSimulatedLoads(t *testing.T) {
+	for _, l := range costLoads {
+		for _, utilisation := range []float64{0.7, 0.95, 1.2} {
+			before, after := simulateCosts(l, utilisation, false), simulateCosts(l, utilisation, true)
+			t.Logf("%s at %v: before %v | after %v", l.name, utilisation, before, after)
+			require.Greater(t, after.inTime, before.inTime-0.01, "%s at %v", l.name, utilisation)
+			require.Greater(t, after.heavyServed, 0.5, "%s at %v", l.name, utilisation)
+			if l.explained(0) && l.explained(2*halfTime) && utilisation > 0.9 {
+				require.Greater(t, after.smallInTime, before.smallInTime, "%s at %v", l.name, utilisation)
+			}
+		}
+	}
+}
+
+// Guards against a small request that waits behind a large one, and against a large one that is overtaken for ever.
+func TestSmallRequestsOvertakeLargeOnes(t *testing.T) {
+	p := cost.NewPredictor()
+	features := func(caller string) cost.Features { return cost.NewFeatures("r", "GET", "/", caller, -1, 0) }
+	for i := range 400 {
+		caller, took := "small", 0.02
+		if i%5 == 0 {
+			caller, took = "large", 0.2
+		}
+		f := features(caller)
+		p.Observe(&f, took)
+	}
+	c := NewScheduler(1)
+	c.SetCostModel(p)
+	admit := func(ms float64, caller string) *Ticket {
+		r := request("r", 1, at(ms), time.Second, 2*time.Second)
+		r.Features = features(caller)
+		ticket, refusal := c.Admit(at(ms), r)
+		require.Nil(t, refusal)
+		return ticket
+	}
+	running := admit(0, "small")
+	c.Poll(at(0))
+	large, small := admit(1, "large"), admit(2, "small")
+	work, known := c.RemainingWork(at(2))
+	require.True(t, known)
+	require.InDelta(t, 0.02+0.2+0.02, work, 0.05)
+	c.Done(at(20), running, true)
+	require.Equal(t, []*Ticket{small}, c.Poll(at(20)))
+	admit(250, "small")
+	c.Done(at(260), small, true)
+	require.Equal(t, []*Ticket{large}, c.Poll(at(260)), "it has waited for a quarter of its objective")
+	work, _ = c.RemainingWork(at(260 + 1000))
+	require.Greater(t, work, 0.3, "it has run for longer than any other")
+}
