Predict costs at the gate and report the remaining work with the load

The gate learns the cost of each run where it ends and hands the features of a request to the scheduler. The load header gets a seventh field, the remaining work in microseconds; a header with six fields is still read, and fields beyond the seventh are ignored. A node of an earlier version ignores a header with seven fields and chooses as without a fresh report.

The choice among pooled targets counts the remaining work, in requests of mean service time, instead of the number of requests, plus what the node has sent since the report.

The load of the node's own target is now read after a local run; until now the node never had a fresh load of it. Runs that the target refused are no samples of its service time any more.

cost_prediction in the settings (auto by default, or off) turns the prediction off; then the header has six fields and the gate decides by the mean of the route.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -401,11 +401,16 @@
 	MeanServiceTime float64
 	// Slowdown is the ratio of the current to the usual service time, 1 if unknown.
 	Slowdown float64
+	// RemainingWork is the expected time in seconds that the running and waiting requests will occupy slots, if WorkKnown is
+	// set.
+	RemainingWork float64
+	WorkKnown     bool
 }
 
 // Stats returns the current state.
 func (c *Scheduler) Stats(now clock.Instant) Stats {
-	return Stats{c.slots, c.running, c.waiting, c.meanServiceTime, c.pace.slowdown(now)}
+	work, known := c.RemainingWork(now)
+	return Stats{c.slots, c.running, c.waiting, c.meanServiceTime, c.pace.slowdown(now), work, known}
 }
 
 // ServiceTimes returns the mean service time of each route in seconds.
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -71,6 +71,9 @@
 	LinkBytesPerSecond float64
 	// Slowdown is the ratio of the current to the usual service time, 0 if unknown.
 	Slowdown float64
+	// RemainingWork is the time that the running and waiting requests are expected to occupy slots, if WorkKnown is set.
+	RemainingWork time.Duration
+	WorkKnown     bool
 }
 
 // targetState is what this node knows of one target.
@@ -78,8 +81,10 @@
 	load           Load
 	loadReportedAt clock.Instant
 	inFlight       int // requests from this node
-	failures       int
-	ejectedUntil   clock.Instant
+	// sentSinceReport counts the requests that this node has sent since the load was reported.
+	sentSinceReport int
+	failures        int
+	ejectedUntil    clock.Instant
 }
 
 // Balancer chooses among the targets of pooled services and ejects unreachable hosts. It is safe for concurrent use.
@@ -273,22 +278,12 @@
 // the comfortable share of the objective, the cross-zone cost, and a small random amount that keeps nodes from all
 // choosing the same target.
 func (o *option) cost(now clock.Instant, defaults defaultLoad) time.Duration {
-	service, slots := o.serviceTime(defaults), max(1, o.Slots)
+	service := o.serviceTime(defaults)
 	mean := service
 	if o.target.load.Slowdown > 1 && now.Sub(o.target.loadReportedAt) < maxSlowdownAge {
 		mean = time.Duration(float64(mean) * o.target.load.Slowdown)
 	}
-	outstanding := o.target.load.Outstanding
-	if !o.fresh(now) {
-		outstanding = int(defaults.utilisation * float64(slots))
-	}
-	busy := max(o.target.inFlight, outstanding)
-	// A target with a free slot serves a request at once, but the more of them are busy, the sooner it has none. This is
-	// weighed by the mean of all targets, since the utilisation says nothing about the speed.
-	extra := mean - service + time.Duration(float64(defaults.mean)*float64(busy)/float64(slots))
-	if busy >= slots {
-		extra += time.Duration(float64(mean) * float64(busy-slots+1) / float64(slots))
-	}
+	extra := mean - service + o.expectedWait(now, mean, defaults)
 	if rate := o.target.load.LinkBytesPerSecond; rate > 0 {
 		if o.bytes >= dispatch.LargeResponseSize { // Small responses overtake large ones.
 			extra += max(0, o.linkQueueDelay(now)-mean)
@@ -323,7 +318,9 @@
 func (p *Balancer) RecordSent(host string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.target(host).inFlight++
+	q := p.target(host)
+	q.inFlight++
+	q.sentSinceReport++
 }
 
 // RecordResponse records the end of a request. A nil load means that the response reported none.
@@ -333,7 +330,7 @@
 	q := p.target(host)
 	q.inFlight--
 	if load != nil {
-		q.load, q.loadReportedAt, q.failures, q.ejectedUntil = *load, now, 0, 0
+		q.load, q.loadReportedAt, q.failures, q.ejectedUntil, q.sentSinceReport = *load, now, 0, 0, 0
 	}
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -83,3 +83,25 @@
 	}
 	return names
 }
+
+// Guards against a cost prediction that can't be turned off, or that is turned off by a misspelt value.
+func TestCostPredictionSetting(t *testing.T) {
+	const sidecar = `node: n
+host: 127.0.0.1
+availability_zone: z
+service: s
+target: 127.0.0.1:1
+heartbeat_interval_ms: 870
+relay_ports: [7000, 7010]
+listen: {entrance: "127.0.0.1:2", readiness: "127.0.0.1:3", heartbeats: "127.0.0.1:4", metrics: "127.0.0.1:5"}
+store: {address: "127.0.0.1:6"}
+`
+	for line, want := range map[string]string{"": "", "cost_prediction: auto": CostPredictionAuto, "cost_prediction: off": CostPredictionOff} {
+		s, err := ReadSidecar("node.yaml", []byte(sidecar+line))
+		require.NoError(t, err, line)
+		require.Equal(t, want, s.CostPrediction)
+	}
+	_, err := ReadSidecar("node.yaml", []byte(sidecar+"cost_prediction: of"))
+	require.ErrorContains(t, err, "cost_prediction")
+	require.NotEmpty(t, errs.Remedy(err))
+}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -30,13 +30,24 @@
 	// LinkMbps is the rate of the host's network link in megabits a second, 0 if it is not known.
 	LinkMbps float64 `yaml:"link_mbps" validate:"gte=0"`
 	// MemoryMB is the memory that the process may use, in megabytes, 0 if it is not known.
-	MemoryMB float64       `yaml:"memory_mb" validate:"gte=0"`
-	Listen   SidecarListen `yaml:"listen"`
-	Store    SidecarStore  `yaml:"store"`
+	MemoryMB float64 `yaml:"memory_mb" validate:"gte=0"`
+	// CostPrediction says whether the node predicts the service times of requests: CostPredictionAuto or CostPredictionOff.
+	// Empty means auto.
+	CostPrediction string        `yaml:"cost_prediction" validate:"omitempty,oneof=auto off"`
+	Listen         SidecarListen `yaml:"listen"`
+	Store          SidecarStore  `yaml:"store"`
 	// Bounds are the platform's bounds by its own names; package platform reads them.
 	Bounds map[string]any `yaml:"bounds"`
 }
 
+// The values of Sidecar.CostPrediction.
+const (
+	// CostPredictionAuto predicts costs where the features of requests explain them.
+	CostPredictionAuto = "auto"
+	// CostPredictionOff decides by the mean service time of each route alone.
+	CostPredictionOff = "off"
+)
+
 // SidecarListen holds the addresses that the node serves.
 type SidecarListen struct {
 	// Entrance is for callers on the host and the target itself.
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -13,6 +13,7 @@
 
 	"github.com/citronvane/citronvane/internal/answer"
 	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/cost"
 	"github.com/citronvane/citronvane/internal/demand"
 	"github.com/citronvane/citronvane/internal/dispatch"
 	"github.com/citronvane/citronvane/internal/event"
@@ -66,6 +67,7 @@
 	link          *dispatch.Link
 	linkScheduler *dispatch.ChunkScheduler
 	demand        demand.Meter
+	costs         *cost.Predictor // nil if costs are not predicted; guarded by dispatch
 	// overloaded counts requests refused for overload since the last control tick.
 	overloaded atomic.Int64
 }
@@ -74,6 +76,7 @@
 	g := &gate{node: n, link: dispatch.NewLink(n.settings.LinkMbps)}
 	g.dispatch = dispatch.NewController(n.clock, 1, g.probeTarget)
 	g.linkScheduler = dispatch.NewChunkScheduler(n.clock, g.link.BytesPerSecond())
+	g.startCostPrediction()
 	return g
 }
 
@@ -162,6 +165,9 @@
 	for _, field := range []int64{int64(s.Slots), int64(s.MeanServiceTime * 1e6), g.link.QueueDelay(g.clock.Now()).Microseconds(), int64(g.link.BytesPerSecond()), int64(s.Slowdown * 1e3)} {
 		value += "," + strconv.FormatInt(field, 10)
 	}
+	if s.WorkKnown {
+		value += "," + strconv.FormatInt(int64(s.RemainingWork*1e6), 10)
+	}
 	return &wire.Header{Name: headerLoad, Value: value}
 }
 
@@ -323,6 +329,7 @@
 	}
 	ticket, refused, err := g.dispatch.Acquire(ctx, dispatch.Request{
 		Route: j.head.Route, Priority: int(j.head.Rank), Objective: objective, SoftDeadline: j.softDeadline.Add(-transferDelay), Deadline: j.deadline.Add(-transferDelay),
+		Features: g.features(j),
 	})
 	if err != nil {
 		return nil, contextRefusal(ctx)
@@ -372,7 +379,7 @@
 		meta = platform.ReadResponse(a.Status, a.Header)
 	}
 	g.crashes.endRun(g.clock.Now(), j.fingerprint, outcomeOf(a, meta, err))
-	g.dispatch.Release(ticket, err == nil, meta.ServiceTimeRatio)
+	g.dispatch.Release(ticket, err == nil && !meta.NotExecuted && !meta.Misdirected, meta.ServiceTimeRatio)
 	g.metrics.recordRun(j.head.Route, g.clock.Now().Sub(started), err)
 	if err != nil {
 		return nil, g.classifyFailure(j, o, err), err
--- a/internal/sidecar/pace.go
+++ b/internal/sidecar/pace.go
@@ -56,7 +56,7 @@
 
 // shouldMove reports whether another target is expected to respond sooner, even if this one could respond in time.
 func (g *gate) shouldMove(j *job) bool {
-	request := dispatch.Request{Route: j.head.Route, Priority: int(j.head.Rank), Objective: j.objective(), SoftDeadline: j.softDeadline, Deadline: j.deadline}
+	request := dispatch.Request{Route: j.head.Route, Priority: int(j.head.Rank), Objective: j.objective(), SoftDeadline: j.softDeadline, Deadline: j.deadline, Features: g.features(j)}
 	cost := time.Duration(j.head.MoveCostUs)*time.Microsecond + seconds(minMoveGain*j.objective().Seconds())
 	return g.dispatch.ExpectedDelay(request) > cost
 }
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -240,6 +240,9 @@
 	var load *ingress.Load
 	if t.Host == e.settings.Host {
 		res = e.sendLocal(ctx, x, head)
+		if x.key < 0 && res.refusal == nil {
+			load = parseLoad(e.gate.loadHeader().Value)
+		}
 	} else {
 		res, load = e.sendRemote(ctx, x, t, head)
 	}
@@ -352,15 +355,18 @@
 	return data, nil
 }
 
-// loadFieldCount is the number of comma-separated fields in headerLoad.
-const loadFieldCount = 6
+// loadFieldCount is the largest number of comma-separated fields in headerLoad. The last one, the remaining work in microseconds,
+// is left out by nodes that don't know it.
+const loadFieldCount = 7
 
-// parseLoad parses the value of headerLoad. It returns nil if the value is malformed.
+// parseLoad parses the value of headerLoad. It returns nil if the value is malformed. Fields beyond those known are ignored,
+// so that later versions may add some.
 func parseLoad(text string) *ingress.Load {
 	parts := strings.Split(text, ",")
-	if len(parts) != loadFieldCount {
+	if len(parts) < loadFieldCount-1 {
 		return nil
 	}
+	parts = parts[:min(len(parts), loadFieldCount)]
 	var fields [loadFieldCount]int
 	for i, part := range parts {
 		n, err := strconv.Atoi(part)
@@ -372,5 +378,6 @@
 	return &ingress.Load{
 		Outstanding: fields[0], Slots: fields[1], MeanServiceTime: time.Duration(fields[2]) * time.Microsecond,
 		LinkQueueDelay: time.Duration(fields[3]) * time.Microsecond, LinkBytesPerSecond: float64(fields[4]), Slowdown: float64(fields[5]) / 1e3,
+		RemainingWork: time.Duration(fields[6]) * time.Microsecond, WorkKnown: len(parts) == loadFieldCount,
 	}
 }
