--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -1,10 +1,8 @@
 package ingress
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -247,8 +245,17 @@
 	for i := range options {
 		options[i].sampleKey = rand.ExpFloat64() / options[i].capacity(defaults)
 	}
-	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(a.sampleKey, b.sampleKey) })
-	return options[:min(sampleSize, len(options))]
+	n := min(sampleSize, len(options))
+	for i := range n {
+		least := i
+		for k := i + 1; k < len(options); k++ {
+			if options[k].sampleKey < options[least].sampleKey {
+				least = k
+			}
+		}
+		options[i], options[least] = options[least], options[i]
+	}
+	return options[:n]
 }
 
 func (o *option) fresh(now clock.Instant) bool { return now.Sub(o.target.loadReportedAt) < maxLoadAge }
