--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -79,8 +79,6 @@
 	load           Load
 	loadReportedAt clock.Instant
 	inFlight       int // requests from this node
-	// sentSinceReport counts the requests that this node has sent since the load was reported.
-	sentSinceReport int
 	failures        int
 	ejectedUntil    clock.Instant
 }
@@ -327,7 +325,6 @@
 	defer p.mu.Unlock()
 	q := p.target(host)
 	q.inFlight++
-	q.sentSinceReport++
 }
 
 // RecordResponse records the end of a request. A nil load means that the response reported none.
@@ -337,7 +334,7 @@
 	q := p.target(host)
 	q.inFlight--
 	if load != nil {
-		q.load, q.loadReportedAt, q.failures, q.ejectedUntil, q.sentSinceReport = *load, now, 0, 0, 0
+		q.load, q.loadReportedAt, q.failures, q.ejectedUntil = *load, now, 0, 0
 	}
 }
 
