Explain where a node would send a request now

Operators could explain a decision only from the logs of requests that had been served. GET /v1/decision at the metrics address of a sidecar node runs the entrance's own code on a described request without sending it: the same route, refusals, owner, candidates and costs. The balancer's choice is split so that the random part (the sample and the jitter) is separate from the costs, which gives each target's probability of being chosen. citronctl route prints it as text or JSON.

The request is described without a deadline header, since stated deadlines feed the statistics of callers.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -58,6 +58,7 @@
 	a.addZone(k)
 	a.addNode(k)
 	a.addLogs(k)
+	a.addDecision(k)
 	k.Terminate(func(code int) { panic(terminated(code)) })
 	if _, err := k.Parse(args); err != nil {
 		_, _ = fmt.Fprintln(errOut, "citronctl:", errs.Describe(err))
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -79,8 +79,8 @@
 	load           Load
 	loadReportedAt clock.Instant
 	inFlight       int // requests from this node
-	failures        int
-	ejectedUntil    clock.Instant
+	failures       int
+	ejectedUntil   clock.Instant
 }
 
 // Balancer chooses among the targets of pooled services and ejects unreachable hosts. It is safe for concurrent use.
@@ -154,6 +154,19 @@
 func (p *Balancer) Choose(now clock.Instant, candidates []Candidate, info RequestInfo, tried map[string]bool) (chosen int, rerouteCost time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	open, defaults := p.options(now, candidates, info, tried)
+	best, bestCost := -1, time.Duration(0)
+	for _, o := range sample(open, defaults) {
+		if cost := o.cost(now, defaults); best < 0 || cost < bestCost {
+			best, bestCost = o.index, cost
+		}
+	}
+	return best, rerouteCostOf(open, best)
+}
+
+// options returns the candidates that may be chosen, and the load that is assumed for those without a fresh report. Ejected
+// hosts may be chosen only if there is no other.
+func (p *Balancer) options(now clock.Instant, candidates []Candidate, info RequestInfo, tried map[string]bool) ([]option, defaultLoad) {
 	bytes := p.responseSize(info)
 	var all, open, ejected []option
 	for i, c := range candidates {
@@ -170,14 +183,7 @@
 	if len(open) == 0 {
 		open = ejected
 	}
-	defaults := meanLoad(all)
-	best, bestCost := -1, time.Duration(0)
-	for _, o := range sample(open, defaults) {
-		if cost := o.cost(now, defaults); best < 0 || cost < bestCost {
-			best, bestCost = o.index, cost
-		}
-	}
-	return best, rerouteCostOf(open, best)
+	return open, meanLoad(all)
 }
 
 // rerouteCostOf returns the cost of rerouting a request from the chosen option to another one: a round trip between
@@ -279,15 +285,25 @@
 	return capacity
 }
 
-// cost returns the expected latency beyond the service time, the part of the service time that makes the latency exceed
-// the comfortable share of the objective, the cross-zone cost, and a small random amount that keeps nodes from all
-// choosing the same target.
+// cost returns the expected cost and a small random amount that keeps nodes from all choosing the same target.
 func (o *option) cost(now clock.Instant, defaults defaultLoad) time.Duration {
+	return o.expectedCost(now, defaults) + time.Duration(rand.Int64N(int64(o.currentServiceTime(now, defaults))/16+1))
+}
+
+// currentServiceTime returns the service time of the target with its slowdown, as far as that is known.
+func (o *option) currentServiceTime(now clock.Instant, defaults defaultLoad) time.Duration {
 	service := o.serviceTime(defaults)
-	mean := service
 	if o.target.load.Slowdown > 1 && now.Sub(o.target.loadReportedAt) < maxSlowdownAge {
-		mean = time.Duration(float64(mean) * o.target.load.Slowdown)
+		return time.Duration(float64(service) * o.target.load.Slowdown)
 	}
+	return service
+}
+
+// expectedCost returns the expected latency beyond the service time, the part of the service time that makes the latency
+// exceed the comfortable share of the objective, and the cross-zone cost.
+func (o *option) expectedCost(now clock.Instant, defaults defaultLoad) time.Duration {
+	service := o.serviceTime(defaults)
+	mean := o.currentServiceTime(now, defaults)
 	extra := mean - service + o.expectedWait(now, mean, defaults)
 	if rate := o.target.load.LinkBytesPerSecond; rate > 0 {
 		if o.bytes >= dispatch.LargeResponseSize { // Small responses overtake large ones.
@@ -300,7 +316,7 @@
 	if !o.sameZone {
 		cost += o.crossZoneCost()
 	}
-	return cost + time.Duration(rand.Int64N(int64(mean)/16+1))
+	return cost
 }
 
 // crossZoneCost returns the cost of a response from another zone, as latency.
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -88,15 +88,7 @@
 	}
 	now := e.clock.Now()
 	view := e.state.view.Load()
-	var candidates []ingress.Candidate
-	for _, t := range view.Targets {
-		if t.Service != x.service || t.State != fleet.Serving && t.State != fleet.Revoked || t.Departing {
-			continue
-		}
-		if _, out := e.state.evacuatedSince(t.Zone); !out {
-			candidates = append(candidates, ingress.Candidate{Host: t.Host, Zone: t.Zone, Slots: t.Slots})
-		}
-	}
+	candidates := e.pooledCandidates(view, x.service)
 	i, moveCost := e.pool.Choose(now, candidates, x.selectionCriteria(), tried)
 	x.moveCost = moveCost
 	if x.slowTarget != nil && (i < 0 || x.tries == maxHostsPerRequest) {
@@ -110,6 +102,20 @@
 	return view.Targets[candidates[i].Host], nil
 }
 
+// pooledCandidates returns the targets of the service that may get a request.
+func (e *entrance) pooledCandidates(view *fleet.View, service string) []ingress.Candidate {
+	var candidates []ingress.Candidate
+	for _, t := range view.Targets {
+		if t.Service != service || t.State != fleet.Serving && t.State != fleet.Revoked || t.Departing {
+			continue
+		}
+		if _, out := e.state.evacuatedSince(t.Zone); !out {
+			candidates = append(candidates, ingress.Candidate{Host: t.Host, Zone: t.Zone, Slots: t.Slots})
+		}
+	}
+	return candidates
+}
+
 // selectOwner returns the host that owns the key. If the key is being moved, it waits until ownerWaitFraction of the objective is over.
 func (e *entrance) selectOwner(ctx context.Context, x *exchange) (*fleet.Target, *refusal) {
 	for {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -15,6 +15,7 @@
 
 	"github.com/citronvane/citronvane/internal/buildinfo"
 	"github.com/citronvane/citronvane/internal/clock"
+	"github.com/citronvane/citronvane/internal/decision"
 	"github.com/citronvane/citronvane/internal/errs"
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/relay"
@@ -115,6 +116,7 @@
 	})
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", n.metrics.Handler())
+	metrics.HandleFunc("GET "+decision.Path, n.entrance.explainDecision)
 	s.initEntrance(n.protectHandler("entrance", n.entrance))
 	s.readiness = newHTTPServer(readiness)
 	s.heartbeats, s.metrics = newHTTPServer(n.protectHandler("heartbeats", platform.HeartbeatHandler(n.member))), newHTTPServer(n.protectHandler("metrics", metrics))
