Divide the ranges of overloaded owners beyond the ordinary row limit

A skewed load fills the assignment table up to its row limit (12 rows per owner) within the first seconds. After that rebalance returned at once, so a group of keys that became hot stayed with one owner for as long as it was hot: in the simulation, nothing moved during a hot period.

Ruled out as the main cause: the number of moves per plan and the time to detect the load; no plan had any move.

Owners above twice their slots may now divide their ranges up to twice the row limit. Ordinary balancing keeps the old limit.

--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -29,6 +29,12 @@
 	// releaseDelay is the time from the heartbeat that releases a range to the new table: the target
 	// reports the release within 100 ms, and the coordinator then writes the table.
 	releaseDelay = 150 * time.Millisecond
+	// overloadUtilization is the utilization from which an owner counts as overloaded. Its ranges are
+	// divided even if the table has reached the row limit of ordinary balancing, up to
+	// overloadRowsFactor times that limit: under a skewed load, ordinary balancing fills the table up to
+	// its limit, and a range that becomes hot later would stay with one owner.
+	overloadUtilization = 2
+	overloadRowsFactor  = 2
 	// minPairsPerPlan is the number of donor and receiver pairs that one plan may use. In large fleets
 	// the limit is half the number of eligible owners.
 	minPairsPerPlan = 5
@@ -36,7 +42,7 @@
 
 // rebalance moves ranges from the owners with the highest utilization to those with the lowest.
 func (p *planner) rebalance() {
-	if len(p.change.Moves) > 0 || len(p.table.Rows) > p.maxRows() || p.input.Now.Sub(p.input.LastRebalanced[p.service]) < rebalanceInterval {
+	if len(p.change.Moves) > 0 || len(p.table.Rows) > overloadRowsFactor*p.maxRows() || p.input.Now.Sub(p.input.LastRebalanced[p.service]) < rebalanceInterval {
 		return
 	}
 	var eligible []*candidate
@@ -52,7 +58,7 @@
 		}
 		sort.SliceStable(eligible, func(i, j int) bool { return eligible[i].utilization() > eligible[j].utilization() })
 		from, to := eligible[0], p.receiver(eligible[0], eligible[1:])
-		if from.utilization() < minDonorUtilization || to.utilization() > maxReceiverUtilization || from.utilization()-to.utilization() < minUtilizationDifference {
+		if from.utilization() < minDonorUtilization || from.utilization() < overloadUtilization && len(p.table.Rows) > p.maxRows() || to.utilization() > maxReceiverUtilization || from.utilization()-to.utilization() < minUtilizationDifference {
 			return
 		}
 		if !p.transferLoad(from, to) {
--- a/internal/placement/played_test.go
+++ b/internal/placement/played_test.go
@@ -25,6 +25,7 @@
 	// simHeartbeatInterval is the heartbeat interval of the targets.
 	simHeartbeatInterval = 870 * time.Millisecond
 	simPollInterval      = time.Second
+	simControlTick       = 250 * time.Millisecond
 	// simOverloadReportInterval is the minimum time between two reports of an owner that refuses
 	// requests.
 	simOverloadReportInterval = 450 * time.Millisecond
@@ -45,6 +46,7 @@
 	nextPoll           clock.Instant
 	refusals           int
 	lastOverloadReport clock.Instant
+	nextControlTick    clock.Instant
 }
 
 type completion struct {
@@ -86,19 +88,40 @@
 	// beforeStep is called at each step, if set.
 	beforeStep func(now clock.Instant)
 	moves      int
+	// tableDelay is the time from a plan to the new table at all nodes. If it is not 0, overload is
+	// reported at control ticks, and all nodes report again when they have received a new table.
+	tableDelay time.Duration
+	// pendingTable is the change that is being written, until writtenAt; planDue is set if another plan
+	// is called for meanwhile.
+	pendingTable *Change
+	writtenAt    clock.Instant
+	planDue      bool
+	// moveReasons counts the moves by reason, losses the requests that were not answered in time by what happened to them.
+	// balanceMoves counts the balancing moves by second.
+	moveReasons  map[Reason]int
+	losses       map[string]int
+	balanceMoves map[int]int
 	// inTime and total count requests by the second of their arrival.
 	inTime, total map[int]int
 }
 
 func newSimulation(t *testing.T, owners int, classes []simRequestClass, seed uint64) *simulation {
+	return newSimulationOf(t, owners, 18, []float64{0.7, 0.7, 1.6}, classes, seed)
+}
+
+// newSimulationOf returns a simulation of targets with the given slots and, in turn, the given speeds.
+func newSimulationOf(t *testing.T, owners, slots int, speeds []float64, classes []simRequestClass, seed uint64) *simulation {
 	s := &simulation{testFleet: newTestFleet(owners), t: t, random: rand.New(rand.NewPCG(seed, 1)), classes: classes, inTime: map[int]int{}, total: map[int]int{}}
+	s.moveReasons, s.losses, s.balanceMoves = map[Reason]int{}, map[string]int{}, map[int]int{}
 	s.input.Now = at(0)
 	for i := range owners {
-		core := dispatch.NewScheduler(18)
+		core := dispatch.NewScheduler(slots)
 		core.SetColdRate(28)
+		s.input.View.Targets[fmt.Sprintf("h%d", i)].Slots = slots
 		s.owners = append(s.owners, &simOwner{
-			host: fmt.Sprintf("h%d", i), speed: []float64{0.7, 0.7, 1.6}[i%3], core: core, meter: &demand.Meter{}, granted: map[keyspace.Range]bool{},
+			host: fmt.Sprintf("h%d", i), speed: speeds[i%len(speeds)], core: core, meter: &demand.Meter{}, granted: map[keyspace.Range]bool{},
 			nextHeartbeat: at(s.random.Float64() * simHeartbeatInterval.Seconds()), nextPoll: at(s.random.Float64()),
+			nextControlTick: at(float64(i) * 0.0625),
 		})
 	}
 	return s
@@ -114,6 +137,7 @@
 		if s.beforeStep != nil {
 			s.beforeStep(now)
 		}
+		s.finishWrite()
 		for _, o := range s.owners {
 			s.advanceOwner(o)
 		}
@@ -158,11 +182,19 @@
 		s.report(o)
 		s.plan()
 	}
-	if o.refusals >= 4 && now.Sub(o.lastOverloadReport) >= simOverloadReportInterval {
-		o.refusals, o.lastOverloadReport = 0, now
+	if s.tableDelay > 0 && now < o.nextControlTick {
+		return
+	}
+	o.nextControlTick = now.Add(simControlTick)
+	overloaded := o.refusals >= 4 && now.Sub(o.lastOverloadReport) >= simOverloadReportInterval
+	if overloaded {
+		o.lastOverloadReport = now
 		s.report(o)
 		s.plan()
 	}
+	if overloaded || s.tableDelay > 0 {
+		o.refusals = 0
+	}
 }
 
 func (s *simulation) rows(o *simOwner) (rows []keyspace.Row) {
@@ -203,7 +235,15 @@
 }
 
 func (s *simulation) plan() {
+	if s.pendingTable != nil {
+		s.planDue = true
+		return
+	}
 	for _, n := range s.input.Nodes {
+		// Reports state times relative to their arrival, and this loop sets LastSeen although the node has not reported again.
+		if elapsed := s.input.Now.Sub(n.LastSeen); n.Report != nil && s.tableDelay > 0 {
+			n.Report.NextHeartbeatMs -= elapsed.Milliseconds()
+		}
 		n.LastSeen = s.input.Now
 	}
 	o := options
@@ -216,9 +256,40 @@
 	require.NoError(s.t, c.Table.Validate())
 	c.Table.MergeAdjacent()
 	s.moves += len(c.Moves)
+	for _, m := range c.Moves {
+		s.moveReasons[m.Reason]++
+		if m.Reason == Balance {
+			s.balanceMoves[int(s.input.Now.Sub(at(0)).Seconds())]++
+		}
+	}
 	if c.Rebalanced {
 		s.input.LastRebalanced["booking"] = s.input.Now
 	}
+	if s.tableDelay > 0 && s.input.Now > at(0) {
+		s.pendingTable, s.writtenAt = c, s.input.Now.Add(s.tableDelay)
+		return
+	}
+	s.installTable(c)
+}
+
+// finishWrite installs the table whose write is due. All nodes then answer the poll that carries it.
+func (s *simulation) finishWrite() {
+	if s.pendingTable == nil || s.input.Now < s.writtenAt {
+		return
+	}
+	s.installTable(s.pendingTable)
+	s.pendingTable = nil
+	for _, o := range s.owners {
+		s.release(o)
+		s.report(o)
+	}
+	if s.planDue {
+		s.planDue = false
+		s.plan()
+	}
+}
+
+func (s *simulation) installTable(c *Change) {
 	s.input.DemandEstimates = UpdateEstimates(s.input.DemandEstimates, s.input.Now, c.Moves)
 	s.input.View.Tables["booking"] = &fleet.Table{Table: *c.Table}
 }
@@ -233,6 +304,7 @@
 	key := s.nextKey(now)
 	row, ok := s.table().Find(key)
 	if !ok || !row.NextOwner.IsZero() && !s.isGranted(row, key) {
+		s.losses["moving"]++
 		return
 	}
 	o := s.owner(row.Owner.Host)
@@ -242,11 +314,13 @@
 	}
 	o.meter.Add(now, key, work)
 	if !s.isGranted(row, key) {
+		s.losses["not granted"]++
 		return // Counted as late: callers wait half a second at most, which is rarely enough.
 	}
 	_, refused := o.core.Admit(now, dispatch.Request{Route: class.name, Priority: class.priority, Objective: class.objective, SoftDeadline: now.Add(class.objective), Deadline: now.Add(2 * class.objective)})
 	if refused != nil {
 		o.refusals++
+		s.losses[string(refused.Reason)]++
 		return
 	}
 	s.startRequests(o, now)
@@ -274,6 +348,7 @@
 func (s *simulation) startRequests(o *simOwner, now clock.Instant) {
 	for _, t := range o.core.Poll(now) {
 		if t.Refusal() != nil {
+			s.losses["late"]++
 			continue
 		}
 		work := 0.0
@@ -286,6 +361,8 @@
 		heap.Push(&o.running, completion{done, t})
 		if done <= t.SoftDeadline {
 			s.inTime[int(t.SoftDeadline.Add(-t.Objective).Sub(at(0)).Seconds())]++
+		} else {
+			s.losses["late"]++
 		}
 	}
 }
