Keep the cause of a cancellation that the server answers

Cause: since the client waits for the answer to its cancellation, a reset of the stream can arrive first, and Do returned ErrTruncated without the deadline.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -91,6 +91,9 @@
 		if call.withdrawn.Load() {
 			return nil, notSent(fmt.Errorf("%w: %w", ErrWithdrawn, err))
 		}
+		if ctx.Err() != nil && !errors.Is(err, context.Cause(ctx)) { // The server answered the cancellation.
+			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
+		}
 		return nil, fmt.Errorf("relay: no answer from %s: %w", address, err)
 	}
 	return &Response{Head: response, Body: call}, nil
