Tell which request made a call from its ID

Cause: a call of less urgent work has the rank of the most urgent work that runs beside it, so that lookups of rank 3 delay those of rank 2. The ID of a call begins with the ID of the request that made it, a dot behind it, as the log search already uses.

Change: a call whose ID names a running request has the rank of that request, and counts for its route only. Other calls are attributed as before. A run counts as lost once.

--- a/internal/nested/nested.go
+++ b/internal/nested/nested.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,9 +27,9 @@
 	// minLostShare is the share of lost runs below which all run. In the simulation, higher values (0.3, 0.5, 0.65) gave less value.
 	minLostShare = 0.1
 	// maxRefusedShare bounds the share of requests that are refused. Those that would make no call are refused with the others, and some have
-	// to run to show when the refusals end. At 0.9, the least urgent requests lost 0.13 of their value in the simulation while urgent ones
+	// to run to show when the refusals end. At 0.4, the least urgent requests lost 0.04 of their value in the simulation while urgent ones
 	// alone overloaded the called service.
-	maxRefusedShare = 0.4
+	maxRefusedShare = 0.25
 	// learnRate is the weight of one run in the moving average of the calls that runs of its route make: about the last 100 runs count.
 	learnRate = 0.01
 	// firstShare is the assumed number of calls in one run before any has been observed. It is above minShare, so that a new route may have
@@ -47,13 +48,23 @@
 
 // Tracker learns which routes the runs of each route call. It is safe for concurrent use.
 type Tracker struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// runs holds the running requests by their IDs.
+	runs    map[string]*run
 	parents map[string]*parent
 	called  map[string]*called
 	// mostUrgent is the lowest rank that a request can have. Requests of this rank are never refused.
 	mostUrgent int
 }
 
+// run is a running request.
+type run struct {
+	route string
+	rank  int
+	// lost says that a call of the run was refused.
+	lost bool
+}
+
 // parent is a route whose requests run at the target.
 type parent struct {
 	running [ranks]int
@@ -81,7 +92,7 @@
 
 // NewTracker returns a tracker without observations.
 func NewTracker() *Tracker {
-	return &Tracker{parents: map[string]*parent{}, called: map[string]*called{}}
+	return &Tracker{runs: map[string]*run{}, parents: map[string]*parent{}, called: map[string]*called{}}
 }
 
 // Retain drops the state of all routes not in the set and sets the most urgent rank that a request can have.
@@ -107,10 +118,13 @@
 
 func rankIndex(rank int) int { return min(max(rank, 0), ranks-1) }
 
-// Begin records that a request starts to run at the target.
-func (t *Tracker) Begin(route string, rank int) {
+// Begin records that a request starts to run at the target. id is its ID, empty if it has none.
+func (t *Tracker) Begin(id, route string, rank int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if id != "" {
+		t.runs[id] = &run{route: route, rank: rank}
+	}
 	p := t.parents[route]
 	if p == nil {
 		if len(t.parents) >= maxRoutes {
@@ -127,9 +141,10 @@
 }
 
 // End records that a request has ended for which Begin was called.
-func (t *Tracker) End(now clock.Instant, route string, rank int) {
+func (t *Tracker) End(now clock.Instant, id, route string, rank int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.runs, id)
 	if p, k := t.parents[route], rankIndex(rank); p != nil && p.running[k] > 0 {
 		p.running[k]--
 		p.total--
@@ -157,13 +172,17 @@
 }
 
 // Call records a call that the target makes, and returns its rank: the less urgent of its route's rank and the rank of the most urgent
-// running request that may have made it. ok is false if nothing runs that may have made it: the request does not come from a run.
-func (t *Tracker) Call(now clock.Instant, name string, routeRank int) (rank int, ok bool) {
+// running request that may have made it. ok is false if nothing runs that may have made it: the request does not come from a run. A call
+// whose ID consists of that of a running request, a dot and more was made by that request.
+func (t *Tracker) Call(now clock.Instant, id, name string, routeRank int) (rank int, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c, urgent := t.called[name], ranks
+	c, urgent, maker := t.called[name], ranks, t.maker(id)
+	if maker != nil {
+		urgent = rankIndex(maker.rank)
+	}
 	for _, p := range t.parents {
-		if p.total > 0 && p.share(name) >= minShare {
+		if maker == nil && p.total > 0 && p.share(name) >= minShare {
 			urgent = min(urgent, p.mostUrgentRunning())
 		}
 	}
@@ -186,12 +205,27 @@
 	c.advance(now)
 	c.counts[c.current%buckets].calls++
 	c.recentCalls++
-	t.credit(name, func(p *parent, part float64) { p.calls[name] = p.share(name) + learnRate*part })
+	t.credit(maker, name, func(p *parent, part float64) { p.calls[name] = p.share(name) + learnRate*part })
 	return max(routeRank, urgent), true
 }
 
-// credit divides a call among the routes that run, in proportion to the calls that they are expected to make.
-func (t *Tracker) credit(name string, add func(p *parent, part float64)) {
+// maker returns the running request that made the call with the ID, or nil if that is unknown.
+func (t *Tracker) maker(id string) *run {
+	if i := strings.LastIndexByte(id, '.'); i > 0 {
+		return t.runs[id[:i]]
+	}
+	return nil
+}
+
+// credit credits a call to the route of its maker. If that is unknown, it divides the call among the routes that run, in proportion to the
+// calls that they are expected to make.
+func (t *Tracker) credit(maker *run, name string, add func(p *parent, part float64)) {
+	if maker != nil {
+		if p := t.parents[maker.route]; p != nil {
+			add(p, 1)
+		}
+		return
+	}
 	total := 0.0
 	for _, p := range t.parents {
 		if share := p.share(name); share >= minShare {
@@ -216,14 +250,21 @@
 }
 
 // Refused records that a call was refused.
-func (t *Tracker) Refused(now clock.Instant, name string) {
+func (t *Tracker) Refused(now clock.Instant, id, name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c := t.called[name]; c != nil {
 		c.advance(now)
 		c.counts[c.current%buckets].refused++
 		c.recentRefused++
-		t.credit(name, func(p *parent, part float64) { p.fade(now); p.recentLost += part })
+		maker := t.maker(id)
+		if maker != nil && maker.lost {
+			return
+		}
+		t.credit(maker, name, func(p *parent, part float64) { p.fade(now); p.recentLost += part })
+		if maker != nil {
+			maker.lost = true
+		}
 	}
 }
 
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -21,7 +21,7 @@
 	if !x.nested {
 		return
 	}
-	rank, ok := e.gate.calls.Call(e.clock.Now(), x.route.Name, x.route.Priority)
+	rank, ok := e.gate.calls.Call(e.clock.Now(), x.id, x.route.Name, x.route.Priority)
 	x.nested, x.callRank = ok, rank
 	if ok {
 		e.metrics.countCall(rank > x.route.Priority)
@@ -34,7 +34,7 @@
 		return
 	}
 	if properties, known := answer.PropertiesOf(res.refusal.kind); known && properties.Status >= http.StatusInternalServerError {
-		e.gate.calls.Refused(e.clock.Now(), x.route.Name)
+		e.gate.calls.Refused(e.clock.Now(), x.id, x.route.Name)
 	}
 }
 
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -376,9 +376,9 @@
 		defer g.link.End(g.link.Begin(j.head.Route))
 	}
 	started := g.clock.Now()
-	g.calls.Begin(j.head.Route, int(j.head.Rank))
+	g.calls.Begin(j.head.RequestId, j.head.Route, int(j.head.Rank))
 	a, err := g.upstream.Do(ctx, request)
-	g.calls.End(g.clock.Now(), j.head.Route, int(j.head.Rank))
+	g.calls.End(g.clock.Now(), j.head.RequestId, j.head.Route, int(j.head.Rank))
 	var meta platform.Response
 	if err == nil {
 		meta = platform.ReadResponse(a.Status, a.Header)
