Place allotters at a keyed service that has owners

Cause: the first keyed service by name may be one that has just been configured and has no targets. Its keys have no owners, so that every request of a capped tenant got 503 until its first targets registered.

Ruled out: a pause of the new allotters when the first service changes. It would refuse all requests of capped tenants for 3 s, to keep the bound during the 2.5 s in which nodes may disagree on the service.

Change: allotters are placed by the first keyed service with owners in the view; while there is none, each node applies its share of the cap. Without tenants, priorities from 7 on are equal again.

--- a/internal/event/sidecar.go
+++ b/internal/event/sidecar.go
@@ -42,7 +42,7 @@
 	RecordDeleted           = register(Event{6037, log.InfoLevel, "record of a lost host was deleted", ""})
 
 	RequestAnswered       = register(Event{6040, log.InfoLevel, "request was answered", ""})
-	RequestRefused        = register(Event{6041, log.InfoLevel, "request was refused; it has not run", "Many with reason overload: add targets. With no_owner: look for events 6020 to 6037. With quota: the tenant is over its cap. With no_allotter: as no_owner, for the first keyed service by name."})
+	RequestRefused        = register(Event{6041, log.InfoLevel, "request was refused; it has not run", "Many with reason overload: add targets. With no_owner: look for events 6020 to 6037. With quota: the tenant is over its cap. With no_allotter: as no_owner, for the first keyed service by name that has owners."})
 	RequestOutcomeUnknown = register(Event{6042, log.WarnLevel, "outcome of a request is unknown", "Look at the target's host for events 6025 and 6050."})
 	ResponseTruncated     = register(Event{6043, log.WarnLevel, "response was truncated on its way to the caller", "Look at the target's host."})
 	RequestRetried        = register(Event{6044, log.InfoLevel, "request is retried", ""})
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -108,15 +108,16 @@
 	return nil
 }
 
-// FirstKeyedService returns the first keyed service by name, "" if there is none.
-func (c *Config) FirstKeyedService() string {
-	first := ""
+// KeyedServices returns the names of the keyed services in their order.
+func (c *Config) KeyedServices() []string {
+	var names []string
 	for name, s := range c.Services {
-		if s.Keyed && (first == "" || name < first) {
-			first = name
+		if s.Keyed {
+			names = append(names, name)
 		}
 	}
-	return first
+	sort.Strings(names)
+	return names
 }
 
 // RouteNames returns the set of the names of all routes.
--- a/internal/sidecar/quota.go
+++ b/internal/sidecar/quota.go
@@ -27,9 +27,9 @@
 // callers on this host.
 type quotas struct {
 	*node
-	// tenants holds the capped tenants by name, service the name of the service whose keys place the allotters, "" if there is none.
+	// tenants holds the capped tenants by name, keyed the names of the keyed services in their order.
 	tenants atomic.Pointer[map[string]*tenantQuota]
-	service atomic.Pointer[string]
+	keyed   atomic.Pointer[[]string]
 
 	mu        sync.Mutex
 	allotters *quota.Allotters
@@ -43,18 +43,29 @@
 	name   string
 	cap    quota.Cap
 	client *quota.Client
-	// share is the node's own part of the cap, which applies if no service has keys.
+	// share is the node's own part of the cap, which applies while no keyed service has owners.
 	share *quota.Bucket
 }
 
 func newQuotas(n *node) *quotas {
 	q := &quotas{node: n, allotters: quota.NewAllotters()}
 	q.tenants.Store(&map[string]*tenantQuota{})
-	none := ""
-	q.service.Store(&none)
+	q.keyed.Store(&[]string{})
 	return q
 }
 
+// service returns the service whose keys place the allotters: the first keyed one by name that has owners, "" if there is none. One that
+// has just been configured has no owners until its first targets register.
+func (q *quotas) service() string {
+	view := q.state.view.Load()
+	for _, name := range *q.keyed.Load() {
+		if table := view.Tables[name]; table != nil && len(table.Rows) > 0 {
+			return name
+		}
+	}
+	return ""
+}
+
 func (q *quotas) tolerance() quota.Tolerance {
 	return quota.Tolerance{Window: q.bounds.QuotaWindow, Overage: q.bounds.QuotaOverage, Slack: q.bounds.QuotaSlack}
 }
@@ -82,12 +93,10 @@
 		known.mu.Unlock()
 		tenants[t.Name] = known
 	}
-	service := c.FirstKeyedService()
+	keyed := c.KeyedServices()
+	q.keyed.Store(&keyed)
 	q.tenants.Store(&tenants)
 	q.mu.Lock()
-	if *q.service.Swap(&service) != service {
-		q.allotters = quota.NewAllotters() // The keys have other owners.
-	}
 	q.allotters.Configure(now, caps)
 	q.mu.Unlock()
 	q.updateAllotters(now)
@@ -100,17 +109,10 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	o := q.state.localTarget.Load()
+	o, places := q.state.localTarget.Load(), q.service() == q.settings.Service
 	q.allotters.Update(now, func(key int) (quota.Holding, bool) {
-		if *q.service.Load() != q.settings.Service || !o.holdsKey(now, key) {
-			return quota.Holding{}, false
-		}
-		for _, r := range o.rows {
-			if r.Contains(key) {
-				return quota.Holding{Term: r.Owner.Term, Fence: r.Fence}, true
-			}
-		}
-		return quota.Holding{}, false
+		row, held := o.heldRow(now, key)
+		return quota.Holding{Term: row.Owner.Term, Fence: row.Fence}, held && places
 	})
 }
 
@@ -119,7 +121,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
-	if *q.service.Load() != q.settings.Service || !q.state.localTarget.Load().holdsKey(now, id.Key()) {
+	if q.service() != q.settings.Service || !q.state.localTarget.Load().holdsKey(now, id.Key()) {
 		return 0, 0, false
 	}
 	return q.allotters.Take(now, id, needed, expected)
@@ -136,7 +138,7 @@
 	}
 	now := q.clock.Now()
 	t.mu.Lock()
-	if *q.service.Load() == "" {
+	if q.service() == "" {
 		defer t.mu.Unlock()
 		return q.takeShare(now, t)
 	}
@@ -227,7 +229,7 @@
 // owner returns the host that owns an allotter's key, the zero value if it has none.
 func (q *quotas) owner(key int) allotterOwner {
 	view := q.state.view.Load()
-	row, ok := view.FindRow(*q.service.Load(), key)
+	row, ok := view.FindRow(q.service(), key)
 	if !ok {
 		return allotterOwner{}
 	}
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -103,15 +103,21 @@
 
 // holdsKey reports whether the target holds a valid grant for the key and may still receive requests.
 func (o *localTarget) holdsKey(now clock.Instant, key int) bool {
+	_, held := o.heldRow(now, key)
+	return held
+}
+
+// heldRow returns the row of a valid grant that has the key, if the target may still receive requests.
+func (o *localTarget) heldRow(now clock.Instant, key int) (keyspace.Row, bool) {
 	if now >= o.grantedUntil || o.lastRequestAt > 0 && now >= o.lastRequestAt {
-		return false
+		return keyspace.Row{}, false
 	}
 	for _, r := range o.rows {
 		if r.Contains(key) {
-			return true
+			return r, true
 		}
 	}
-	return false
+	return keyspace.Row{}, false
 }
 
 // state holds the snapshots that request handlers read.
--- a/internal/sidecar/tenants_test.go
+++ b/internal/sidecar/tenants_test.go
@@ -15,6 +15,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/keyspace"
 	"github.com/citronvane/citronvane/platform"
 	"github.com/citronvane/citronvane/platform/standin"
 )
@@ -213,3 +215,47 @@
 	require.Len(t, names, maxNamedTenants+1)
 	require.Contains(t, names, otherTenants)
 }
+
+// Guards against capped tenants that are refused because a keyed service without targets comes first, and against nodes that each apply
+// the whole cap while no service places its allotters.
+func TestAllottersAreAtAServiceWithOwners(t *testing.T) {
+	n := newIdleNode(t)
+	config, err := platform.DecodeConfig([]byte(`{"version":"r1","services":{"a":{"sharded":true},"s":{"sharded":true}},
+		"tenants":{"t":{"api_keys":["k"],"rate_per_s":100,"burst":100}}}`))
+	require.NoError(t, err)
+	n.quotas.applyConfig(config)
+	view := fleet.NewView()
+	for i := range 10 {
+		view.Targets[fmt.Sprint(i)] = &fleet.Target{Host: fmt.Sprint(i)}
+	}
+	n.state.view.Store(view)
+	tokens := func() (granted int) {
+		for range 1000 {
+			x := newTestExchange(n.entrance)
+			x.tenant = config.Tenants.Find("t")
+			if n.quotas.acquire(t.Context(), x) == nil {
+				granted++
+			}
+		}
+		return granted
+	}
+	require.Zero(t, n.quotas.service())
+	since := n.clock.Now()
+	tokens()
+	time.Sleep(200 * time.Millisecond)
+	granted := tokens()
+	require.Positive(t, granted)
+	require.LessOrEqual(t, float64(granted), 10*n.clock.Now().Sub(since).Seconds()+1, "a tenth of the rate")
+
+	owner := keyspace.Owner{Host: "h", Term: 1}
+	rows := []keyspace.Row{{Range: keyspace.Range{From: 0, To: keyspace.MaxKey}, Owner: owner, Fence: 1}}
+	view = view.Clone()
+	view.Targets["h"] = &fleet.Target{Host: "h", Term: 1}
+	view.Tables["s"] = &fleet.Table{Table: keyspace.Table{Fence: 1, Rows: rows}}
+	n.state.view.Store(view)
+	n.state.localTarget.Store(&localTarget{serving: true, rows: rows, grantedUntil: n.clock.Now().Add(time.Minute)})
+	n.quotas.updateAllotters(n.clock.Now())
+	require.Equal(t, "s", n.quotas.service())
+	time.Sleep(300 * time.Millisecond)
+	require.Greater(t, tokens(), 20)
+}
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -140,11 +140,11 @@
 
 // Rank returns the rank of a request of the tenant on a route with the priority; 0 is the highest. The tenant's priority is compared
 // first and the route's second. A request without a tenant is ranked as if it came from the tenant with the highest priority. Without
-// tenants, the rank is the priority of the route.
+// tenants, the rank is the priority of the route, of which those beyond the last level are equal.
 func (d *Directory) Rank(t *Tenant, routePriority int) int {
 	switch {
 	case d == nil:
-		return routePriority
+		return min(routePriority, levels-1)
 	case t == nil:
 		return d.routeLevels[routePriority]
 	}
--- a/internal/tenant/tenant_test.go
+++ b/internal/tenant/tenant_test.go
@@ -1,6 +1,7 @@
 package tenant
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -61,6 +62,7 @@
 	require.Less(t, d.Rank(low, 3), d.Rank(low, 5))
 	require.Equal(t, d.Rank(high, 3), d.Rank(nil, 3), "as if from the highest tenant")
 	require.Equal(t, 5, (*Directory)(nil).Rank(nil, 5))
+	require.Equal(t, (*Directory)(nil).Rank(nil, 7), (*Directory)(nil).Rank(nil, 60))
 
 	var many []*Tenant
 	for i := range 50 {
@@ -77,3 +79,22 @@
 	_, err := NewDirectory(map[*Tenant][]Digest{{Name: "a"}: shared, {Name: "b"}: shared}, nil)
 	require.Error(t, err)
 }
+
+func BenchmarkIdentify(b *testing.B) {
+	keys := map[*Tenant][]Digest{}
+	for i := range 2500 {
+		t := &Tenant{Name: fmt.Sprint(i)}
+		for j := range 4 {
+			keys[t] = append(keys[t], DigestOf(fmt.Sprintf("jvz48wuakn2ftimaj3nr-%d-%d", i, j)))
+		}
+	}
+	d, err := NewDirectory(keys, nil)
+	require.NoError(b, err)
+	field := []string{"Bearer jvz48wuakn2ftimaj3nr-1234-2"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := d.Identify(field); !ok {
+			b.Fatal("not found")
+		}
+	}
+}
