--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -196,6 +196,7 @@
 	e.retryBudget(x.service).RecordRequest(now)
 	e.rankCall(x)
 	res := e.forward(memory.WithHold(ctx, &x.hold), x)
+	x.recordHold()
 	if res.refusal != nil {
 		e.quotas.release(x)
 	}
