--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -84,6 +84,10 @@
 		p.Observe(&f, 0.5)
 	}
 	require.InEpsilon(t, 0.5, p.Predict(&f).Mean, 0.05)
+	for range 2000 {
+		p.Observe(&f, 0.5)
+	}
+	require.InEpsilon(t, 0.5, p.Predict(&f).High, 0.2)
 }
 
 // Guards against remainders that ignore how long a request has run: they must agree with those of the costs themselves.
--- a/internal/ingress/imbalance_test.go
+++ b/internal/ingress/imbalance_test.go
@@ -127,6 +127,7 @@
 	const ms = time.Millisecond
 	for _, l := range []poolLoad{
 		{name: "light", perSecond: 45, work: 100 * ms, bytes: 1 << 10, targetZones: evenZones, objective: 400 * ms, seconds: 200},
+		{name: "light, 64 KiB", perSecond: 45, work: 100 * ms, bytes: 64 << 10, targetZones: evenZones, objective: 400 * ms, seconds: 200},
 		{name: "light, skewed zones, 64 KiB", perSecond: 45, work: 100 * ms, bytes: 64 << 10, targetZones: skewedZones, objective: 400 * ms, seconds: 200},
 		{name: "long requests", perSecond: 45, work: time.Second, bytes: 1 << 10, targetZones: evenZones, objective: 4 * time.Second, seconds: 200},
 		{name: "busy", perSecond: 900, work: 100 * ms, bytes: 1 << 10, targetZones: evenZones, objective: 400 * ms, seconds: 20},
