Log the end of the nodes' logs when an ordinary request is not answered

Cause: in one run on a machine with a load average of 49 an ordinary request was not answered within 40 s, and nothing showed why: the nodes' logs end with the test.

Measured: not reproduced yet; the check and its bound are unchanged.

--- a/internal/sidecar/processtest/rig_test.go
+++ b/internal/sidecar/processtest/rig_test.go
@@ -169,7 +169,7 @@
 	r.t.Helper()
 	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, path := range []string{"/p/ordinary", "/k/ordinary"} {
-		assert.Eventually(r.t, func() bool {
+		answered := assert.Eventually(r.t, func() bool {
 			request, _ := http.NewRequest(http.MethodGet, "http://"+r.pooled.entrance+path, nil)
 			request.Host, request.Header = standin.Host, standin.KeyedHeader(fmt.Sprint("ordinary-", time.Now().UnixNano()), 1)
 			response, err := client.Do(request)
@@ -179,6 +179,12 @@
 			_ = response.Body.Close()
 			return response.StatusCode == http.StatusOK
 		}, answeredWithin, 100*time.Millisecond, "an ordinary request to %s is answered", path)
+		if !answered {
+			for _, c := range []*child{r.pooled, r.keyed} {
+				log, _ := os.ReadFile(c.log)
+				r.t.Logf("end of the log of %s: %s", c.name, log[max(0, len(log)-3000):])
+			}
+		}
 	}
 }
 
