--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -23,6 +23,9 @@
 	surgeRatio   = 1.4
 	surgeWeight  = 0.8
 	minSurgeWork = 0.5
+	// blockSize is the number of keys in a block, negligibleDemand the demand below which a key counts as idle.
+	blockSize        = 64
+	negligibleDemand = 1e-5
 	// maxSegments bounds the number of segments of a report.
 	maxSegments = 48
 	// minSegmentDemand is the smallest demand for which keys get a segment of their own, in busy
@@ -36,6 +39,9 @@
 	windowStart clock.Instant
 	windowWork  [keyspace.MaxKey + 1]float32 // seconds of work that arrived in the window
 	meanDemand  [keyspace.MaxKey + 1]float32 // busy slots
+	// activeBlocks holds the blocks of keys with work or demand. The others are skipped, because the
+	// requests of an owner wait while a window is closed.
+	activeBlocks [(keyspace.MaxKey + 1) / blockSize]bool
 	// keylessWork and keylessMeanDemand are the same for requests without a key.
 	keylessWork, keylessMeanDemand float64
 }
@@ -50,6 +56,7 @@
 		return
 	}
 	m.windowWork[key] += float32(work)
+	m.activeBlocks[key/blockSize] = true
 }
 
 // closeWindow ends the current window if its time is over.
@@ -62,13 +69,30 @@
 	if elapsed > 4*windowLength {
 		weight = 1 // After a long pause older windows are irrelevant.
 	}
-	perSecond := float32(1 / elapsed.Seconds())
-	if m.surged(perSecond) {
+	if m.surged(elapsed) {
 		weight = max(weight, surgeWeight)
 	}
-	for key := range m.meanDemand {
-		m.meanDemand[key] += weight * (m.windowWork[key]*perSecond - m.meanDemand[key])
-		m.windowWork[key] = 0
+	m.averageWindow(now, weight)
+}
+
+// averageWindow adds the window to the moving average with the given weight and starts a new one.
+func (m *Meter) averageWindow(now clock.Instant, weight float32) {
+	perSecond := float32(1 / now.Sub(m.windowStart).Seconds())
+	for block, active := range m.activeBlocks {
+		if !active {
+			continue
+		}
+		idle := true
+		for key := block * blockSize; key < (block+1)*blockSize; key++ {
+			m.meanDemand[key] += weight * (m.windowWork[key]*perSecond - m.meanDemand[key])
+			m.windowWork[key] = 0
+			if m.meanDemand[key] < negligibleDemand {
+				m.meanDemand[key] = 0
+			} else {
+				idle = false
+			}
+		}
+		m.activeBlocks[block] = !idle
 	}
 	m.keylessMeanDemand += float64(weight) * (m.keylessWork*float64(perSecond) - m.keylessMeanDemand)
 	m.keylessWork = 0
@@ -76,13 +100,18 @@
 }
 
 // surged reports whether the window has much more work than the average.
-func (m *Meter) surged(perSecond float32) bool {
+func (m *Meter) surged(elapsed time.Duration) bool {
 	var current, mean float32
-	for key := range m.meanDemand {
-		current += m.windowWork[key]
-		mean += m.meanDemand[key]
+	for block, active := range m.activeBlocks {
+		if !active {
+			continue
+		}
+		for key := block * blockSize; key < (block+1)*blockSize; key++ {
+			current += m.windowWork[key]
+			mean += m.meanDemand[key]
+		}
 	}
-	return current > minSurgeWork && current*perSecond > surgeRatio*mean
+	return current > minSurgeWork && current/float32(elapsed.Seconds()) > surgeRatio*mean
 }
 
 // Report returns the total demand and its distribution over the rows. The segments have about the same
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -32,9 +32,12 @@
 	// overloadUtilization is the utilization from which an owner counts as overloaded. Its ranges are
 	// divided even if the table has reached the row limit of ordinary balancing, up to
 	// overloadRowsFactor times that limit: under a skewed load, ordinary balancing fills the table up to
-	// its limit, and a range that becomes hot later would stay with one owner.
-	overloadUtilization = 2
+	// its limit, and a range that becomes hot later would stay with one owner. At a threshold of 2, the
+	// noise in the measured demand of slow owners caused moves under ordinary load.
+	overloadUtilization = 2.5
 	overloadRowsFactor  = 2
+	// maxOverloadRows keeps the table within one object of the store, which holds about 9,000 rows.
+	maxOverloadRows = 8000
 	// minPairsPerPlan is the number of donor and receiver pairs that one plan may use. In large fleets
 	// the limit is half the number of eligible owners.
 	minPairsPerPlan = 5
@@ -42,7 +45,7 @@
 
 // rebalance moves ranges from the owners with the highest utilization to those with the lowest.
 func (p *planner) rebalance() {
-	if len(p.change.Moves) > 0 || len(p.table.Rows) > overloadRowsFactor*p.maxRows() || p.input.Now.Sub(p.input.LastRebalanced[p.service]) < rebalanceInterval {
+	if len(p.change.Moves) > 0 || len(p.table.Rows) > min(overloadRowsFactor*p.maxRows(), maxOverloadRows) || p.input.Now.Sub(p.input.LastRebalanced[p.service]) < rebalanceInterval {
 		return
 	}
 	var eligible []*candidate
