Fill the link in the tests of the relay as fast as before

Cause: a sender uses 64 KiB of a stream's window since, 256 KiB before.

Change: four requests a step, in this test and in TestHeadsThatWaitOnALostConnectionAreNotSent. The checks are the same.

--- a/internal/relay/cancel_test.go
+++ b/internal/relay/cancel_test.go
@@ -113,9 +113,11 @@
 	}
 	// Fills the link until bytes wait in the outbox.
 	for full := false; !full; {
-		group.Go(func() {
-			_, _ = client.Do(t.Context(), server.address, &Request{Head: request("large", nil).Head, Body: bytes.NewReader(body)})
-		})
+		for range window / InitialCredit { // Each sends no more than InitialCredit.
+			group.Go(func() {
+				_, _ = client.Do(t.Context(), server.address, &Request{Head: request("large", nil).Head, Body: bytes.NewReader(body)})
+			})
+		}
 		time.Sleep(20 * time.Millisecond)
 		if c := conn(); c != nil && c.out.size() > 0 {
 			before := c.out.size()
--- a/internal/relay/withdraw_test.go
+++ b/internal/relay/withdraw_test.go
@@ -98,11 +98,14 @@
 		time.Sleep(200 * time.Millisecond)
 		return size() == before
 	}
+	// Each sends no more than InitialCredit. The link has to be full before probes find that the server does not answer.
 	for full := false; !full; full = waiting() {
-		group.Go(func() {
-			head := &wire.RequestHead{Key: "large", ContentLength: int64(len(body))}
-			_, _ = client.Do(ctx, server.address, &Request{Head: head, Body: bytes.NewReader(body)})
-		})
+		for range window / InitialCredit {
+			group.Go(func() {
+				head := &wire.RequestHead{Key: "large", ContentLength: int64(len(body))}
+				_, _ = client.Do(ctx, server.address, &Request{Head: head, Body: bytes.NewReader(body)})
+			})
+		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	gaveUp, leave := context.WithTimeout(ctx, 100*time.Millisecond)
