Log why a configuration is late at a node

The record of the late configuration (one node, 404, 3.6 s after the acknowledgement) fits several causes, and the log of the node could not tell them apart: polls, the node's own reads, announced versions and the source of a version were not logged.

A node now logs missing polls (6017), an announced configuration that it lacks and whether a poll carried it (6016), failed reads with their reason (6018), and an object whose store revision went back (6057). The coordinator names the nodes that have not reported the announced version (6019). 6012 names the source. Two counters and a gauge show the same. No decision changes.

--- a/internal/event/sidecar.go
+++ b/internal/event/sidecar.go
@@ -20,6 +20,11 @@
 	EvacuationsChanged = register(Event{6014, log.InfoLevel, "evacuated availability zones changed", ""})
 	ObjectInvalid      = register(Event{6015, log.WarnLevel, "an object in the store is invalid and is ignored", "Delete the object or correct the program that wrote it."})
 
+	ConfigBehind       = register(Event{6016, log.WarnLevel, "a later configuration is announced, but this node does not have it yet", "carried says whether a poll had the document. If reads fail, check the path from this host to the store."})
+	PollsMissing       = register(Event{6017, log.WarnLevel, "the coordinator does not poll this node; it gets the operator's objects itself", "Check the named coordinator's host, and the network between the two hosts."})
+	OperatorReadFailed = register(Event{6018, log.WarnLevel, "reading the operator's objects failed", "Check the path from this host to the store; the node tries again."})
+	NodesBehind        = register(Event{6019, log.WarnLevel, "nodes have not reported the configuration that this coordinator announces", "Search the logs of the named hosts for events 6016 to 6018."})
+
 	TermBegan          = register(Event{6020, log.InfoLevel, "term of the target started", ""})
 	TermRevoked        = register(Event{6021, log.WarnLevel, "term of the target was revoked", "Check this host's network; the node registers a new term by itself."})
 	TargetStateWritten = register(Event{6022, log.InfoLevel, "state of the target was written to the store", ""})
@@ -54,5 +59,6 @@
 	TargetRequestRefused = register(Event{6051, log.InfoLevel, "request was refused before it reached the target; it has not run", ""})
 	CrashSuspected       = register(Event{6052, log.WarnLevel, "target exited while it was running a request", "Search the log for the fingerprint."})
 	QuarantineBegan      = register(Event{6053, log.ErrorLevel, "request is quarantined because it crashes targets", "Find its caller and correct the target."})
+	StaleObject          = register(Event{6057, log.WarnLevel, "an object of the store is older than the one in use and is ignored", "If it persists, check whether the store was restored from a copy."})
 	DepartureUnconfirmed = register(Event{6056, log.InfoLevel, "another node did not confirm that it remembers a departure; others are asked", ""})
 )
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -35,6 +35,7 @@
 	configFetchedAt clock.Instant
 	// nextOperatorFetch is when this node may next read the operator's objects without an announcement.
 	nextOperatorFetch clock.Instant
+	lag               configLag
 
 	isLeader bool
 	// leadershipVersion is the store version of the leadership record that names this node.
@@ -54,8 +55,12 @@
 	// a node has reported meanwhile.
 	operatorUnread bool
 	reportedConfig uint64
-	history        *fleet.History
-	polledNodes    map[string]*polledNode
+	// announcedConfig is the configuration version that the polls name, announcedAt since when. behindLoggedAt is when the nodes that
+	// have not reported it were logged last.
+	announcedConfig             uint64
+	announcedAt, behindLoggedAt clock.Instant
+	history                     *fleet.History
+	polledNodes                 map[string]*polledNode
 	// encodings holds the encoded changes of the view encodedOf by the number of the change that they follow.
 	encodings    map[uint64][]byte
 	encodedOf    *fleet.View
@@ -215,10 +220,12 @@
 			c.campaign(now)
 		}
 		if now.Sub(c.lastPolled) > configFetchTimeout && (!c.state.startsFleet() || now.Sub(c.startedAt) > firstPollWait) {
-			c.fetchOperatorState(now)
+			c.fetchOperatorState(now, readUnpolled)
 		}
+		c.logConfigLag(now)
 		return
 	}
+	c.logNodesBehind(now)
 	c.outage.recordAnswer(clock.Instant(c.state.storeAnsweredAt.Load()))
 	if c.outage.shouldResign(now) {
 		c.resign("the store is unreachable from this node but reachable from others")
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -29,7 +29,9 @@
 	storeUp  atomic.Bool
 
 	requests, refusals, storeCalls, heartbeats, rangeMoves, retries, paceProbes, panics, tenantRequests, quotaCalls, endedCallers, nestedCalls metric.Int64Counter
+	configsApplied, operatorReads                                                                                                              metric.Int64Counter
 	latency, runDuration                                                                                                                       metric.Float64Histogram
+	configVersion                                                                                                                              metric.Int64Gauge
 }
 
 func newMetrics() (*metrics, error) {
@@ -65,6 +67,10 @@
 	m.nestedCalls = counter("citronvane.nested.calls", "requests that the host's target makes while it runs others, by rank: of their route, or of less urgent work")
 	m.panics = counter("citronvane.panics", "panics that were contained, by task")
 	m.endedCallers = counter("citronvane.callers.ended", "connections and requests of callers that were refused or ended because of the bounds on callers, by reason")
+	m.configsApplied = counter("citronvane.config.applied", "configurations that took effect, by source: store, poll or report")
+	m.operatorReads = counter("citronvane.operator.reads", "reads of the operator's objects, by reason and outcome")
+	m.configVersion, err = meter.Int64Gauge("citronvane.config.version", metric.WithDescription("version of the configuration in force, 0 if there is none"))
+	instrumentErrs = append(instrumentErrs, err)
 	m.latency = histogram("citronvane.request.duration", "time from the request to its answer at the entrance")
 	m.runDuration = histogram("citronvane.run.duration", "time that the host's target took")
 	return m, errors.Join(instrumentErrs...)
@@ -91,6 +97,19 @@
 	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(label("call", call), label("outcome", outcome)))
 }
 
+func (m *metrics) recordConfig(source configSource, version uint64) {
+	m.configsApplied.Add(context.Background(), 1, metric.WithAttributes(label("source", string(source))))
+	m.configVersion.Record(context.Background(), int64(version))
+}
+
+func (m *metrics) countOperatorRead(reason readReason, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = string(errs.KindOf(err))
+	}
+	m.operatorReads.Add(context.Background(), 1, metric.WithAttributes(label("reason", string(reason)), label("outcome", outcome)))
+}
+
 func (m *metrics) countTenantRequest(tenant, outcome string) {
 	m.tenantRequests.Add(context.Background(), 1, metric.WithAttributes(label("tenant", tenant), label("outcome", outcome)))
 }
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 
+	"github.com/phuslu/log"
+
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/fleet"
@@ -20,14 +22,15 @@
 
 // applyOperatorState applies the operator's objects that the poll carries: the configuration version and the evacuated zones.
 func (c *coordinator) applyOperatorState(now clock.Instant, p *fleet.Poll) {
+	c.lag.recordAnnouncement(now, p)
 	if len(p.Config) > 0 {
-		c.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: p.ConfigVersion, Value: p.Config})
+		c.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: p.ConfigVersion, Value: p.Config}, sourcePoll)
 	} else if p.ConfigVersion > c.state.configVersion.Load() {
 		c.fetchAnnouncedConfig(now)
 	}
 	c.applyToldEvacuations(p.EvacuatedZones, p.EvacuatedRevision)
 	if p.OperatorUnread {
-		c.fetchOperatorState(now)
+		c.fetchOperatorState(now, readAsked)
 	}
 }
 
@@ -53,8 +56,10 @@
 	c.runAsyncWithin(configReadTimeout, func(ctx context.Context) func(clock.Instant) {
 		sleep(ctx, wait)
 		err := c.fetchConfig(ctx)
+		c.recordOperatorRead(readAnnounced, err)
 		return func(after clock.Instant) {
 			c.fetchingConfig, c.configFetchedAt = false, after
+			c.lag.recordRead(err)
 			if err == nil && c.lastPoll.ConfigVersion > c.state.configVersion.Load() {
 				c.fetchAnnouncedConfig(after)
 			}
@@ -72,7 +77,7 @@
 }
 
 // fetchOperatorState reads the operator's objects from the store, unless the node has just done so.
-func (c *coordinator) fetchOperatorState(now clock.Instant) {
+func (c *coordinator) fetchOperatorState(now clock.Instant, reason readReason) {
 	if now < c.nextOperatorFetch {
 		return
 	}
@@ -82,7 +87,9 @@
 		if err == nil {
 			err = c.fetchEvacuations(ctx)
 		}
+		c.recordOperatorRead(reason, err)
 		return func(after clock.Instant) {
+			c.lag.recordRead(err)
 			if err != nil {
 				c.nextOperatorFetch = now.Add(operatorFetchBackoff)
 			}
@@ -113,7 +120,7 @@
 	c.applyToldEvacuations(r.EvacuatedZones, r.EvacuatedRevision)
 	known := max(c.state.configVersion.Load(), c.reportedConfig)
 	if len(r.Config) > 0 { // Hosts that the store refuses have no other way to it than the polls of this leader.
-		c.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: r.ConfigVersion, Value: r.Config})
+		c.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: r.ConfigVersion, Value: r.Config}, sourceReport)
 	}
 	if r.ConfigVersion > known {
 		c.reportedConfig = r.ConfigVersion
@@ -153,7 +160,7 @@
 	n.followKind(ctx, platform.ConfigKind, func(changes []store.Change, _ uint64, _ bool) {
 		for _, c := range changes {
 			if c.Name == platform.ConfigName && !c.Deleted {
-				n.applyConfig(c.Object)
+				n.applyConfig(c.Object, sourceStore)
 			}
 		}
 	})
@@ -163,7 +170,7 @@
 func (n *node) fetchConfig(ctx context.Context) error {
 	o, err := n.store.Get(ctx, platform.ConfigKind, platform.ConfigName)
 	if err == nil {
-		n.applyConfig(o)
+		n.applyConfig(o, sourceStore)
 	}
 	return err
 }
@@ -178,10 +185,15 @@
 }
 
 // applyConfig applies a configuration unless it is older than the current one.
-func (n *node) applyConfig(o store.Object) {
+func (n *node) applyConfig(o store.Object, source configSource) {
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
-	if o.Version <= n.state.configVersion.Load() {
+	if held := n.state.configVersion.Load(); o.Version <= held {
+		if o.Version < held && source == sourceStore {
+			n.lines.logLimited(func(l *log.Logger) {
+				event.StaleObject.On(l).Str("object", platform.ConfigName).Uint64("revision", o.Version).Uint64("held", held).Send()
+			})
+		}
 		return
 	}
 	next, err := platform.DecodeConfig(o.Value)
@@ -197,7 +209,8 @@
 	n.state.config.Store(next)
 	n.state.configDocument.Store(documentForNodes(o, next.Tenants != nil))
 	n.state.configVersion.Store(o.Version)
-	event.ConfigApplied.On(n.log).Uint64("version", next.Version).Uint64("revision", o.Version).Int("tenants", len(next.Tenants.Tenants())).Send()
+	n.metrics.recordConfig(source, next.Version)
+	event.ConfigApplied.On(n.log).Uint64("version", next.Version).Uint64("revision", o.Version).Str("source", string(source)).Int("tenants", len(next.Tenants.Tenants())).Send()
 	n.entrance.applyConfig(next)
 	n.gate.applyConfig(next)
 }
@@ -211,7 +224,10 @@
 func (n *node) applyEvacuations(changes []store.Change, revision uint64, replace bool) {
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
-	if revision < n.state.evacuatedRevision.Load() {
+	if held := n.state.evacuatedRevision.Load(); revision < held {
+		n.lines.logLimited(func(l *log.Logger) {
+			event.StaleObject.On(l).Str("object", platform.EvacuationKind).Uint64("revision", revision).Uint64("held", held).Send()
+		})
 		return
 	}
 	now := n.clock.Now()
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -146,7 +146,7 @@
 		node, refused := &polledNode{}, &polledNode{}
 		leader.polledNodes["h"] = node
 		value := []byte(standin.Configuration(2, "q") + strings.Repeat(" ", size))
-		reader.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: 9, Value: value})
+		reader.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: 9, Value: value}, sourceStore)
 		poll := leader.newPoll(leader.clock.Now(), node, &fleet.Target{}, leader.state.view.Load())
 		poll.OperatorUnread, poll.ConfigHeld = true, leader.state.configVersion.Load()
 		reader.coordinator.nextOperatorFetch = reader.clock.Now().Add(time.Hour) // It has just read the objects.
