Show two ways in which a confirmed configuration is not in force in time

Callers got 404 for a route that the operator had added 3.6 s before.

- The coordinator is lost and the store refuses a node: the node still answers 404 2 s after the change.
- The store comes back from a copy: no node applies what the operator writes afterwards.

A third test holds: a node that starts with the older configuration of the copy gets the later one.

--- a/internal/sidecar/configlag.go
+++ b/internal/sidecar/configlag.go
@@ -58,7 +58,7 @@
 
 func (l *configLag) recordAnnouncement(now clock.Instant, p *fleet.Poll) {
 	if p.ConfigVersion > l.announced {
-		l.announced, l.since, l.carried = p.ConfigVersion, now, false
+		*l = configLag{announced: p.ConfigVersion, since: now, loggedAt: l.loggedAt}
 	}
 	l.carried = l.carried || len(p.Config) > 0
 }
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -16,6 +16,16 @@
 // configApplyTime is the platform's bound for a configuration to be in force.
 const configApplyTime = 2 * time.Second
 
+// evacuationTime is the platform's bound for an evacuation to take effect.
+const evacuationTime = 5 * time.Second
+
+// changeFaults changes the faults that the store shows to all hosts.
+func (r *testFleet) changeFaults(change func(*standin.Faults)) {
+	for _, h := range r.hosts {
+		h.storeProxy.ChangeFaults(change)
+	}
+}
+
 // leader returns the host of the coordinator.
 func (r *testFleet) leader() *testHost {
 	r.t.Helper()
@@ -68,6 +78,64 @@
 		r.store.Configure(standin.Configuration(2, "q"))
 		r.requireConfig("/q/x", leader)
 	})
+	t.Run("the coordinator is lost and the store refuses a node", func(t *testing.T) {
+		r := newTestFleet(t, 3)
+		leader, refused := r.leader(), r.hosts[0]
+		if refused == leader {
+			refused = r.hosts[1]
+		}
+		leader.node.settings.Store.Address = "127.0.0.1:1" // It must not come back as the coordinator.
+		leader.cancel()
+		refused.storeProxy.ChangeFaults(func(d *standin.Faults) { d.Down = true })
+		r.store.Configure(standin.Configuration(2, "q"))
+		r.requireConfig("/q/x", leader)
+	})
+}
+
+// Guards against nodes that ignore what the operator writes after the store came back from a copy, because its revisions are lower than before.
+func TestOperatorObjectsTakeEffectAfterARestore(t *testing.T) {
+	r := newTestFleet(t, 3)
+	copied := r.store.Copy()
+	r.store.Evacuate("y")
+	for range 40 {
+		r.store.Configure(standin.Configuration(2, "q"))
+	}
+	r.requireConfig("/q/x", nil)
+	r.changeFaults(func(d *standin.Faults) { d.Down = true })
+	time.Sleep(time.Second)
+	r.store.Restore(copied)
+	r.changeFaults(func(d *standin.Faults) { d.Down = false })
+	r.store.Configure(standin.Configuration(2, "q"))
+	time.Sleep(time.Second)
+	r.store.Configure(standin.Configuration(3, "s"))
+	r.store.Evacuate("x")
+	r.requireConfig("/s/x", nil)
+	require.Eventually(t, func() bool {
+		for _, h := range r.hosts {
+			if _, evacuated := h.node.state.evacuatedSince("x"); !evacuated {
+				return false
+			}
+		}
+		return true
+	}, evacuationTime, 10*time.Millisecond)
+}
+
+// Guards against a node that starts after the store came back from an older copy, and takes the older configuration for the later one.
+func TestOlderConfigurationOfACopyIsReplaced(t *testing.T) {
+	r := newTestFleet(t, 3)
+	copied := r.store.Copy()
+	r.store.Configure(standin.Configuration(2, "q"))
+	r.requireConfig("/q/x", nil)
+	r.store.Restore(copied)
+	started := r.hosts[0]
+	if started.isLeader() {
+		started = r.hosts[1]
+	}
+	r.restart(started)
+	require.Eventually(t, func() bool {
+		status, _ := started.get("/q/x", "config", 1)
+		return status == 200
+	}, configApplyTime, 10*time.Millisecond)
 }
 
 // Guards against calls to the store that grow with nodes times changes: a start costs few calls, configurations cost none.
