Ask other nodes for a configuration when the store refuses a node

Callers got 404 at one node for a route that had been added 3.6 s before.

A node learns of a configuration from the coordinator's polls, and reads it itself where no poll comes or a poll names only the version. A node that the store refuses had no further way: while the coordinator was lost it waited for a new one (2.5 to 3.3 s) and for its second poll, and a document above 32 KiB it never got at all, although most nodes had it.

Such a node now asks three other nodes at once, each 0.4 s. Their answers have a document of at most 32 KiB; a larger one is read from one node that has it. Nodes that the store serves ask nobody.

--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -63,7 +63,7 @@
 	Held *HeldVersions `json:"held,omitempty"`
 	// ConfigVersion is the store version of the configuration of the node, 0 if it has none.
 	ConfigVersion uint64 `json:"config,omitempty"`
-	// Config is the configuration of that version, if the coordinator can't read it and it is small enough.
+	// Config is the configuration of that version, if the receiver can't read it. In an answer to a poll it is a small one.
 	Config json.RawMessage `json:"config_document,omitempty"`
 	// EvacuatedZones and EvacuatedRevision are set if the node has read the evacuated zones later than the coordinator.
 	EvacuatedZones    []string `json:"evacuated,omitempty"`
@@ -74,6 +74,9 @@
 	SentAt    int64  `json:"sent"`
 	// Refused means that the node rejected the poll because it knows a later coordinator.
 	Refused bool `json:"refused,omitempty"`
+	// OperatorStateLimit, if it is not 0, asks the receiver for the operator's objects, whether it is the coordinator or not. The answer has
+	// the document of a later configuration if it has at most this many bytes, and otherwise its version.
+	OperatorStateLimit int `json:"operator_state_limit,omitempty"`
 	// CoordinatorEpoch is the epoch of the reporting node if it is the coordinator, otherwise 0.
 	CoordinatorEpoch uint64 `json:"leads,omitempty"`
 	// Record is the target record of the host as its node knows it.
--- a/internal/sidecar/configlag.go
+++ b/internal/sidecar/configlag.go
@@ -20,6 +20,8 @@
 	sourceStore  configSource = "store"
 	sourcePoll   configSource = "poll"
 	sourceReport configSource = "report"
+	// sourceNode means another node that was asked, because the store could not be read.
+	sourceNode configSource = "node"
 )
 
 // readReason says why a node reads the operator's objects itself.
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -67,7 +67,7 @@
 	m.nestedCalls = counter("citronvane.nested.calls", "requests that the host's target makes while it runs others, by rank: of their route, or of less urgent work")
 	m.panics = counter("citronvane.panics", "panics that were contained, by task")
 	m.endedCallers = counter("citronvane.callers.ended", "connections and requests of callers that were refused or ended because of the bounds on callers, by reason")
-	m.configsApplied = counter("citronvane.config.applied", "configurations that took effect, by source: store, poll or report")
+	m.configsApplied = counter("citronvane.config.applied", "configurations that took effect, by source: store, poll, report or node")
 	m.operatorReads = counter("citronvane.operator.reads", "reads of the operator's objects, by reason and outcome")
 	m.configVersion, err = meter.Int64Gauge("citronvane.config.version", metric.WithDescription("version of the configuration in force, 0 if there is none"))
 	instrumentErrs = append(instrumentErrs, err)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -122,9 +122,14 @@
 
 // sendMessage sends a message to another node and returns the report that answers it.
 func (n *node) sendMessage(ctx context.Context, address, method string, message []byte) (*fleet.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	return n.sendMessageWithin(ctx, pollTimeout, address, method, message)
+}
+
+// sendMessageWithin is sendMessage for a message whose answer may take another time than pollTimeout.
+func (n *node) sendMessageWithin(ctx context.Context, timeout time.Duration, address, method string, message []byte) (*fleet.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	head := &wire.RequestHead{Method: method, TimeoutMs: pollTimeout.Milliseconds(), ContentLength: int64(len(message)), Entrance: n.settings.Node}
+	head := &wire.RequestHead{Method: method, TimeoutMs: timeout.Milliseconds(), ContentLength: int64(len(message)), Entrance: n.settings.Node}
 	response, err := n.relay.Do(ctx, address, &relay.Request{Head: head, Body: bytes.NewReader(message)})
 	if err != nil {
 		return nil, err
@@ -158,7 +163,11 @@
 		}
 		n.post(func(now clock.Instant) {
 			n.coordinator.handleReport(now, r, true)
-			reply <- &fleet.Report{Host: n.settings.Host, CoordinatorEpoch: n.coordinator.leadershipRound(), Departures: n.departures.list()}
+			answer := &fleet.Report{Host: n.settings.Host, CoordinatorEpoch: n.coordinator.leadershipRound(), Departures: n.departures.list()}
+			if r.OperatorStateLimit > 0 {
+				n.addRequestedOperatorState(answer, r)
+			}
+			reply <- answer
 		})
 	}
 	select {
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -18,7 +20,8 @@
 // The operator's objects, the configuration and the evacuated zones, reach the nodes through the leader: only the leader watches them,
 // and its polls carry them, so that a change costs no call to the store a node. Of a configuration above maxPolledConfigBytes they carry
 // only the version, and each node reads it. A leader that can't read the objects asks some nodes in turn to read them and to report what
-// is newer, small configurations with the document. A node that is not polled reads them itself.
+// is newer, small configurations with the document. A node that is not polled reads them itself. A node that has to read them and can't, because
+// the store refuses it, asks other nodes.
 
 // applyOperatorState applies the operator's objects that the poll carries: the configuration version and the evacuated zones.
 func (c *coordinator) applyOperatorState(now clock.Instant, p *fleet.Poll) {
@@ -60,6 +63,9 @@
 		return func(after clock.Instant) {
 			c.fetchingConfig, c.configFetchedAt = false, after
 			c.lag.recordRead(err)
+			if err != nil {
+				c.askOperatorState(after)
+			}
 			if err == nil && c.lastPoll.ConfigVersion > c.state.configVersion.Load() {
 				c.fetchAnnouncedConfig(after)
 			}
@@ -82,6 +88,7 @@
 		return
 	}
 	c.nextOperatorFetch = now.Add(operatorFetchInterval)
+	c.operatorReadBegan = now
 	c.runAsyncWithin(configReadTimeout, func(ctx context.Context) func(clock.Instant) {
 		err := c.fetchConfig(ctx)
 		if err == nil {
@@ -92,6 +99,8 @@
 			c.lag.recordRead(err)
 			if err != nil {
 				c.nextOperatorFetch = now.Add(operatorFetchBackoff)
+			} else {
+				c.operatorReadAt = after
 			}
 			if c.state.configVersion.Load() > c.lastPoll.ConfigVersion || c.state.evacuatedRevision.Load() > c.lastPoll.EvacuatedRevision {
 				c.sendReport(c.member.buildReport(after))
@@ -100,6 +109,79 @@
 	})
 }
 
+// askOperatorState asks some other nodes for the operator's objects. A small document comes with the answers, a large one is read from one
+// of the nodes that have it.
+func (c *coordinator) askOperatorState(now clock.Instant) {
+	if now < c.nextOperatorAsk {
+		return
+	}
+	c.nextOperatorAsk = now.Add(configReadTimeout) // The end of the call sets an earlier time.
+	report := c.member.buildReport(now)
+	relays := c.randomRelays(operatorAskNodes)
+	c.runAsyncWithin(configReadTimeout, func(ctx context.Context) func(clock.Instant) {
+		if relay, version := c.askNodes(ctx, report, relays); version > c.state.configVersion.Load() {
+			_, _ = c.askNode(ctx, configReadTimeout, store.MaxValueBytes, report, relay) // A failure is logged, and others are asked next.
+		}
+		return func(after clock.Instant) { c.nextOperatorAsk = after.Add(operatorAskInterval) }
+	})
+}
+
+// askNodes asks the nodes at once, and returns the highest configuration version that one of them has, and that node.
+func (n *node) askNodes(ctx context.Context, report *fleet.Report, relays []string) (relay string, version uint64) {
+	versions := make([]uint64, len(relays))
+	var group sync.WaitGroup
+	for i, relay := range relays {
+		group.Go(func() {
+			n.protect("ask", func() { versions[i], _ = n.askNode(ctx, pollTimeout, maxPolledConfigBytes, report, relay) }) // The others may answer.
+		})
+	}
+	group.Wait()
+	for i, v := range versions {
+		if v > version {
+			relay, version = relays[i], v
+		}
+	}
+	return relay, version
+}
+
+// askNode asks a node for the operator's objects, applies those that it answers, and returns its configuration version.
+func (n *node) askNode(ctx context.Context, timeout time.Duration, limit int, report *fleet.Report, relay string) (uint64, error) {
+	request := *report
+	request.OperatorStateLimit = limit
+	r, err := n.sendMessageWithin(ctx, timeout, relay, methodReport, request.Encode())
+	if err != nil {
+		event.OperatorReadFailed.On(n.log).Str("reason", "asked node").Str("from", relay).Err(err).Send()
+		return 0, err
+	}
+	if len(r.Config) > 0 {
+		n.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: r.ConfigVersion, Value: r.Config}, sourceNode)
+	}
+	n.applyToldEvacuations(r.EvacuatedZones, r.EvacuatedRevision)
+	return r.ConfigVersion, nil
+}
+
+// randomRelays returns the relay addresses of up to n other hosts whose targets were not lost, in random order.
+func (c *coordinator) randomRelays(n int) []string {
+	var relays []string
+	for host, t := range c.state.view.Load().Targets {
+		if host != c.settings.Host && t.State != fleet.Revoked {
+			relays = append(relays, t.Relay)
+		}
+	}
+	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
+	return relays[:min(n, len(relays))]
+}
+
+// addRequestedOperatorState adds the operator's objects to the answer to a report that asks for them.
+func (n *node) addRequestedOperatorState(answer, asked *fleet.Report) {
+	answer.ConfigVersion = n.state.configVersion.Load()
+	if document := n.state.configDocument.Load(); document != nil && document.Version > asked.ConfigVersion && len(document.Value) <= asked.OperatorStateLimit {
+		answer.ConfigVersion, answer.Config = document.Version, document.Value
+	}
+	answer.EvacuatedRevision = n.state.evacuatedRevision.Load()
+	answer.EvacuatedZones = slices.Sorted(maps.Keys(*n.state.evacuated.Load()))
+}
+
 // addOperatorState adds what this node knows of the operator's objects to a report for the leader.
 func (c *coordinator) addOperatorState(r *fleet.Report) {
 	r.ConfigVersion = c.state.configVersion.Load()
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -90,6 +90,17 @@
 		r.store.Configure(standin.Configuration(2, "q"))
 		r.requireConfig("/q/x", leader)
 	})
+	t.Run("the store refuses a node and the polls can't carry the document", func(t *testing.T) {
+		r := newTestFleet(t, 3)
+		refused := r.hosts[0]
+		if refused.isLeader() {
+			refused = r.hosts[1]
+		}
+		refused.storeProxy.ChangeFaults(func(d *standin.Faults) { d.Down = true })
+		large := `{"note":"` + strings.Repeat("x", 4*maxPolledConfigBytes) + `",`
+		r.store.Configure(strings.Replace(standin.Configuration(2, "q"), "{", large, 1))
+		r.requireConfig("/q/x", nil)
+	})
 }
 
 // Guards against nodes that ignore what the operator writes after the store came back from a copy, because its revisions are lower than before.
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -52,6 +52,11 @@
 	// operatorFetchInterval is the time between two such reads of a node, and operatorFetchBackoff that after a failed one.
 	operatorFetchInterval = time.Second
 	operatorFetchBackoff  = 2 * time.Second
+	// operatorAskInterval is the time after which a node that is not polled and can't read the operator's objects asks other nodes again.
+	operatorAskInterval = 400 * time.Millisecond
+	// operatorAskNodes is the number of nodes that it asks at once. If the store refuses a third of the hosts, all 3 are among these in one
+	// of 27 rounds.
+	operatorAskNodes = 3
 	// configFetchSpacing is the time between two reads of announced configurations. Of configurations that follow each other faster,
 	// a node reads only some.
 	configFetchSpacing = 400 * time.Millisecond
