Send a configuration right after a node's first answer to a new coordinator

Callers got 404 at one node for a route that had been added 3.6 s before.

The first poll of a new coordinator carries no configuration, because it has no report of the node yet. Its answer was followed at once by another poll only if the node lacked objects of the view, else the document came with the next regular poll, a second later.

The second poll is now also sent at once if the first answer shows an older configuration that polls can carry.

TestNewLeaderSendsTheConfigurationAfterTheFirstAnswer failed before the change.

--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -438,11 +438,11 @@
 	})
 }
 
-// pollAgain polls a node that has just answered its first poll, with the objects of the view that it lacks.
+// pollAgain polls a node that has just answered its first poll, with the objects of the view and the configuration that it lacks.
 func (c *coordinator) pollAgain(now clock.Instant, host string) {
 	v, n := c.state.view.Load(), c.polledNodes[host]
 	t := v.Targets[host]
-	if !c.isLeader || n == nil || t == nil || n.pollPending || n.viewSequence >= c.history.Sequence() {
+	if !c.isLeader || n == nil || t == nil || n.pollPending || n.viewSequence >= c.history.Sequence() && c.documentFor(n) == nil {
 		return
 	}
 	c.sendPoll(now, n, t, c.newPoll(now, n, t, v))
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -76,10 +76,17 @@
 // announceConfig adds the configuration to a poll for a node that has an older one.
 func (c *coordinator) announceConfig(p *fleet.Poll, n *polledNode) {
 	p.ConfigVersion = max(c.state.configVersion.Load(), c.reportedConfig)
-	if document := c.state.configDocument.Load(); document != nil && document.Version == p.ConfigVersion && len(document.Value) <= maxPolledConfigBytes &&
-		n.Report != nil && n.Report.ConfigVersion < p.ConfigVersion {
-		p.Config = document.Value
+	p.Config = c.documentFor(n)
+}
+
+// documentFor returns the configuration document that the next poll carries to the node, nil if it carries none.
+func (c *coordinator) documentFor(n *polledNode) []byte {
+	document := c.state.configDocument.Load()
+	if document == nil || document.Version != max(c.state.configVersion.Load(), c.reportedConfig) || len(document.Value) > maxPolledConfigBytes ||
+		n.Report == nil || n.Report.ConfigVersion >= document.Version {
+		return nil
 	}
+	return document.Value
 }
 
 // fetchOperatorState reads the operator's objects from the store, unless the node has just done so.
--- a/internal/sidecar/view_test.go
+++ b/internal/sidecar/view_test.go
@@ -8,6 +8,9 @@
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/keyspace"
 	"github.com/citronvane/citronvane/internal/settings"
+	"github.com/citronvane/citronvane/internal/store"
+	"github.com/citronvane/citronvane/platform"
+	"github.com/citronvane/citronvane/platform/standin"
 )
 
 // newTestLeader returns an idle node that leads, with the view.
@@ -117,3 +120,18 @@
 	require.Equal(t, changed.Tables, lacking.state.view.Load().Tables)
 	require.Equal(t, changed.Targets, lacking.state.view.Load().Targets)
 }
+
+// Guards against a new leader whose first poll can't carry the configuration, and which sends it only with the next regular one.
+func TestNewLeaderSendsTheConfigurationAfterTheFirstAnswer(t *testing.T) {
+	for reported, polledAgain := range map[uint64]bool{1: true, 2: false} {
+		view := fleet.NewView()
+		view.Targets["h"] = newUnresponsiveHost(t)
+		leader := newTestLeader(t, view)
+		leader.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: 2, Value: []byte(standin.Configuration(2, "p"))}, sourceStore)
+		node := &polledNode{viewSequence: leader.history.Sequence()}
+		node.Report = &fleet.Report{ConfigVersion: reported}
+		leader.polledNodes["h"] = node
+		leader.pollAgain(leader.clock.Now(), "h")
+		require.Equal(t, polledAgain, node.pollPending, "the node reports version %d", reported)
+	}
+}
