Order configurations by the operator's version

After the store came back from a copy, callers got 404 for every route that the operator added, at all nodes and until they restarted.

Nodes compared store revisions: an object was dropped if its revision was not above the last one, before its own version was looked at, and polls and reports named configurations by revision. Revisions go back with the copy. A node that started after the return would in turn have taken the older configuration of the copy for the later one, once revisions had passed the old ones.

The operator's version now orders them everywhere: in what a node applies, in polls, reports and answers. Polls still name the revision for nodes of earlier releases, whose polls are understood as well.

--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -21,8 +21,11 @@
 	ProcessID          uint64 `json:"process,omitempty"`
 	LastReportSentAt   int64  `json:"reported,omitempty"`
 	CoordinatorLeaseMs int64  `json:"authority_ms,omitempty"`
-	// ConfigVersion is the store version of the configuration that the coordinator read last.
-	ConfigVersion uint64 `json:"config,omitempty"`
+	// ConfigVersion is the operator's version of the configuration that the coordinator knows. The revisions of the store don't serve for
+	// that: they go back when the store comes back from a copy.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
+	// ConfigRevision is the store revision of the configuration. Nodes of earlier releases go by it, and their polls lack ConfigVersion.
+	ConfigRevision uint64 `json:"config,omitempty"`
 	// Config is the configuration of that version, if the node has an older one and it is small enough.
 	Config json.RawMessage `json:"config_document,omitempty"`
 	// EvacuatedZones lists the zones that were out of service at EvacuatedRevision, a revision of the store.
@@ -31,9 +34,9 @@
 	// OperatorUnread means that the coordinator can't read the configuration and the evacuations, so that the node reads
 	// them and reports what is newer.
 	OperatorUnread bool `json:"operator_unread,omitempty"`
-	// ConfigHeld is the store version of the configuration that the coordinator itself has, set if OperatorUnread is set.
-	// ConfigVersion may be a later one that another node has reported.
-	ConfigHeld uint64 `json:"config_held,omitempty"`
+	// ConfigHeld is the version of the configuration that the coordinator itself has, set if OperatorUnread is set. ConfigVersion may be a
+	// later one that another node has reported.
+	ConfigHeld uint64 `json:"config_version_held,omitempty"`
 	// StoreSilentMs is the time in milliseconds for which the store has not answered the coordinator. If it is set,
 	// the node tries the store itself.
 	StoreSilentMs int64 `json:"store_silent_ms,omitempty"`
@@ -61,8 +64,8 @@
 	ViewEpoch    uint64 `json:"view_round,omitempty"`
 	// Held lists the versions in the view of the node, if ViewSequence does not tell the receiver which objects the node lacks.
 	Held *HeldVersions `json:"held,omitempty"`
-	// ConfigVersion is the store version of the configuration of the node, 0 if it has none.
-	ConfigVersion uint64 `json:"config,omitempty"`
+	// ConfigVersion is the operator's version of the configuration of the node, 0 if it has none.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
 	// Config is the configuration of that version, if the receiver can't read it. In an answer to a poll it is a small one.
 	Config json.RawMessage `json:"config_document,omitempty"`
 	// EvacuatedZones and EvacuatedRevision are set if the node has read the evacuated zones later than the coordinator.
--- a/internal/sidecar/configlag_test.go
+++ b/internal/sidecar/configlag_test.go
@@ -31,12 +31,12 @@
 		}, `"coordinator":"lead","round":4,"last_poll":"2.45s","failed_reads":1,"error":"refused"`},
 		"announced without a document": {func(c *coordinator, now clock.Instant) {
 			c.lastPoll, c.lastPolled = fleet.Poll{Coordinator: "lead", Epoch: 4}, now
-			c.lag.recordAnnouncement(now.Add(-2*time.Second), &fleet.Poll{ConfigVersion: 9})
+			c.lag.recordAnnouncement(now.Add(-2*time.Second), &fleet.Poll{ConfigVersion: 3})
 			c.lag.recordRead(errors.New("refused"))
-		}, `"failed_reads":1,"error":"refused","announced":9,"held":2,"announced_for":"2s","carried":false`},
-		"older revision in the store": {func(c *coordinator, _ clock.Instant) {
-			c.applyConfig(stored(2, 1), sourceStore)
-		}, `"object":"main","revision":1,"held":2`},
+		}, `"failed_reads":1,"error":"refused","announced":3,"held":2,"announced_for":"2s","carried":false`},
+		"older configuration in the store": {func(c *coordinator, _ clock.Instant) {
+			c.applyStoredConfig(stored(1, 1), sourceStore)
+		}, `"object":"main","version":1,"held":2,"revision":1`},
 		"nodes that don't report it": {func(c *coordinator, now clock.Instant) {
 			n := &polledNode{}
 			n.Report, n.LastSeen = &fleet.Report{ConfigVersion: 1}, now.Add(-time.Second)
@@ -45,12 +45,12 @@
 			c.logNodesBehind(now)
 		}, `"announced":2,"announced_for":"2s","nodes":1,"hosts":"[late]","unread":false,"longest_silence":"1s"`},
 		"source of a version": {func(c *coordinator, _ clock.Instant) {
-			c.applyConfig(stored(3, 3), sourcePoll)
-		}, `"version":3,"revision":3,"source":"poll"`},
+			c.applyToldConfig(3, stored(3, 0).Value, sourcePoll)
+		}, `"version":3,"revision":8,"source":"poll"`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := newIdleNode(t)
-			n.applyConfig(stored(1, 2), sourceStore)
+			n.applyStoredConfig(stored(2, 8), sourceStore)
 			var out bytes.Buffer
 			n.log.Writer = log.IOWriter{Writer: &out}
 			now := n.clock.Now()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -64,6 +65,8 @@
 	processIncarnation uint64
 	// applyMu serializes changes of the configuration and of the evacuated zones.
 	applyMu sync.Mutex
+	// configRevision is the store revision of the configuration that was read last.
+	configRevision atomic.Uint64
 
 	departures    departures
 	crashes       *crashWatch
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -13,6 +13,7 @@
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/ingress"
 	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/platform"
 )
@@ -26,9 +27,12 @@
 // applyOperatorState applies the operator's objects that the poll carries: the configuration version and the evacuated zones.
 func (c *coordinator) applyOperatorState(now clock.Instant, p *fleet.Poll) {
 	c.lag.recordAnnouncement(now, p)
-	if len(p.Config) > 0 {
-		c.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: p.ConfigVersion, Value: p.Config}, sourcePoll)
-	} else if p.ConfigVersion > c.state.configVersion.Load() {
+	switch {
+	case p.ConfigVersion == 0 && len(p.Config) > 0: // The leader runs an earlier release.
+		c.applyStoredConfig(store.Object{Version: p.ConfigRevision, Value: p.Config}, sourcePoll)
+	case len(p.Config) > 0:
+		c.applyToldConfig(p.ConfigVersion, p.Config, sourcePoll)
+	case c.isAnnounced(p):
 		c.fetchAnnouncedConfig(now)
 	}
 	c.applyToldEvacuations(p.EvacuatedZones, p.EvacuatedRevision)
@@ -49,6 +53,14 @@
 	n.applyEvacuations(changes, revision, true)
 }
 
+// isAnnounced reports whether the poll names a later configuration than this node has.
+func (n *node) isAnnounced(p *fleet.Poll) bool {
+	if p.ConfigVersion == 0 { // The leader runs an earlier release.
+		return p.ConfigRevision > n.configRevision.Load()
+	}
+	return p.ConfigVersion > n.state.configVersion.Load()
+}
+
 // fetchAnnouncedConfig reads the configuration whose version the leader has announced.
 func (c *coordinator) fetchAnnouncedConfig(now clock.Instant) {
 	if c.fetchingConfig {
@@ -63,10 +75,11 @@
 		return func(after clock.Instant) {
 			c.fetchingConfig, c.configFetchedAt = false, after
 			c.lag.recordRead(err)
-			if err != nil {
-				c.askOperatorState(after)
+			if !c.isAnnounced(&c.lastPoll) {
+				return
 			}
-			if err == nil && c.lastPoll.ConfigVersion > c.state.configVersion.Load() {
+			c.askOperatorState(after) // The store refuses this node, or came back from a copy and has an older configuration.
+			if err == nil {
 				c.fetchAnnouncedConfig(after)
 			}
 		}
@@ -75,18 +88,18 @@
 
 // announceConfig adds the configuration to a poll for a node that has an older one.
 func (c *coordinator) announceConfig(p *fleet.Poll, n *polledNode) {
-	p.ConfigVersion = max(c.state.configVersion.Load(), c.reportedConfig)
+	p.ConfigVersion, p.ConfigRevision = max(c.state.configVersion.Load(), c.reportedConfig), c.configRevision.Load()
 	p.Config = c.documentFor(n)
 }
 
 // documentFor returns the configuration document that the next poll carries to the node, nil if it carries none.
 func (c *coordinator) documentFor(n *polledNode) []byte {
 	document := c.state.configDocument.Load()
-	if document == nil || document.Version != max(c.state.configVersion.Load(), c.reportedConfig) || len(document.Value) > maxPolledConfigBytes ||
-		n.Report == nil || n.Report.ConfigVersion >= document.Version {
+	if document == nil || document.version != max(c.state.configVersion.Load(), c.reportedConfig) || len(document.value) > maxPolledConfigBytes ||
+		n.Report == nil || n.Report.ConfigVersion >= document.version {
 		return nil
 	}
-	return document.Value
+	return document.value
 }
 
 // fetchOperatorState reads the operator's objects from the store, unless the node has just done so.
@@ -161,7 +174,7 @@
 		return 0, err
 	}
 	if len(r.Config) > 0 {
-		n.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: r.ConfigVersion, Value: r.Config}, sourceNode)
+		n.applyToldConfig(r.ConfigVersion, r.Config, sourceNode)
 	}
 	n.applyToldEvacuations(r.EvacuatedZones, r.EvacuatedRevision)
 	return r.ConfigVersion, nil
@@ -182,8 +195,8 @@
 // addRequestedOperatorState adds the operator's objects to the answer to a report that asks for them.
 func (n *node) addRequestedOperatorState(answer, asked *fleet.Report) {
 	answer.ConfigVersion = n.state.configVersion.Load()
-	if document := n.state.configDocument.Load(); document != nil && document.Version > asked.ConfigVersion && len(document.Value) <= asked.OperatorStateLimit {
-		answer.ConfigVersion, answer.Config = document.Version, document.Value
+	if document := n.state.configDocument.Load(); document != nil && document.version > asked.ConfigVersion && len(document.value) <= asked.OperatorStateLimit {
+		answer.ConfigVersion, answer.Config = document.version, document.value
 	}
 	answer.EvacuatedRevision = n.state.evacuatedRevision.Load()
 	answer.EvacuatedZones = slices.Sorted(maps.Keys(*n.state.evacuated.Load()))
@@ -192,8 +205,8 @@
 // addOperatorState adds what this node knows of the operator's objects to a report for the leader.
 func (c *coordinator) addOperatorState(r *fleet.Report) {
 	r.ConfigVersion = c.state.configVersion.Load()
-	if document := c.state.configDocument.Load(); c.lastPoll.OperatorUnread && document != nil && document.Version > c.lastPoll.ConfigHeld && len(document.Value) <= maxPolledConfigBytes {
-		r.ConfigVersion, r.Config = document.Version, document.Value
+	if document := c.state.configDocument.Load(); c.lastPoll.OperatorUnread && document != nil && document.version > c.lastPoll.ConfigHeld && len(document.value) <= maxPolledConfigBytes {
+		r.ConfigVersion, r.Config = document.version, document.value
 	}
 	if revision := c.state.evacuatedRevision.Load(); revision > c.lastPoll.EvacuatedRevision {
 		r.EvacuatedRevision = revision
@@ -209,7 +222,7 @@
 	c.applyToldEvacuations(r.EvacuatedZones, r.EvacuatedRevision)
 	known := max(c.state.configVersion.Load(), c.reportedConfig)
 	if len(r.Config) > 0 { // Hosts that the store refuses have no other way to it than the polls of this leader.
-		c.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: r.ConfigVersion, Value: r.Config}, sourceReport)
+		c.applyToldConfig(r.ConfigVersion, r.Config, sourceReport)
 	}
 	if r.ConfigVersion > known {
 		c.reportedConfig = r.ConfigVersion
@@ -249,7 +262,7 @@
 	n.followKind(ctx, platform.ConfigKind, func(changes []store.Change, _ uint64, _ bool) {
 		for _, c := range changes {
 			if c.Name == platform.ConfigName && !c.Deleted {
-				n.applyConfig(c.Object, sourceStore)
+				n.applyStoredConfig(c.Object, sourceStore)
 			}
 		}
 	})
@@ -259,7 +272,7 @@
 func (n *node) fetchConfig(ctx context.Context) error {
 	o, err := n.store.Get(ctx, platform.ConfigKind, platform.ConfigName)
 	if err == nil {
-		n.applyConfig(o, sourceStore)
+		n.applyStoredConfig(o, sourceStore)
 	}
 	return err
 }
@@ -273,33 +286,52 @@
 	return err
 }
 
-// applyConfig applies a configuration unless it is older than the current one.
-func (n *node) applyConfig(o store.Object, source configSource) {
+// applyStoredConfig applies an object of the store that holds a configuration, unless it is not later than the current one.
+func (n *node) applyStoredConfig(o store.Object, source configSource) {
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
-	if held := n.state.configVersion.Load(); o.Version <= held {
-		if o.Version < held && source == sourceStore {
-			n.lines.logLimited(func(l *log.Logger) {
-				event.StaleObject.On(l).Str("object", platform.ConfigName).Uint64("revision", o.Version).Uint64("held", held).Send()
-			})
-		}
-		return
+	if o.Version == n.configRevision.Swap(o.Version) {
+		return // It was read before. The coordinator reads it each refreshInterval.
 	}
 	next, err := platform.DecodeConfig(o.Value)
 	if err != nil {
 		event.ConfigInvalid.On(n.log).Uint64("revision", o.Version).Err(err).Send()
 		return
 	}
-	old := n.state.config.Load()
-	if old != nil && next.Version <= old.Version {
-		return // Never return to an older version, even if the store object is newer.
+	held := n.state.configVersion.Load()
+	if next.Version < held {
+		event.StaleObject.On(n.log).Str("object", platform.ConfigName).Uint64("version", next.Version).Uint64("held", held).Uint64("revision", o.Version).Send()
+		return
+	}
+	n.installConfig(next, o.Value, source)
+}
+
+// applyToldConfig applies the configuration that another node has sent, unless it is not later than the current one.
+func (n *node) applyToldConfig(version uint64, value []byte, source configSource) {
+	n.applyMu.Lock()
+	defer n.applyMu.Unlock()
+	if version <= n.state.configVersion.Load() {
+		return
+	}
+	next, err := platform.DecodeConfig(value)
+	if err != nil {
+		event.ConfigInvalid.On(n.log).Uint64("version", version).Err(err).Send()
+		return
+	}
+	n.installConfig(next, value, source)
+}
+
+// installConfig puts a configuration in force unless the current one has the same version or a later one. The caller holds applyMu.
+func (n *node) installConfig(next *ingress.Config, value []byte, source configSource) {
+	if old := n.state.config.Load(); old != nil && next.Version <= old.Version {
+		return // An accepted configuration is never reverted, whatever the store's revisions say.
 	}
 	n.quotas.applyConfig(next)
 	n.state.config.Store(next)
-	n.state.configDocument.Store(documentForNodes(o, next.Tenants != nil))
-	n.state.configVersion.Store(o.Version)
+	n.state.configDocument.Store(documentForNodes(next.Version, value, next.Tenants != nil))
+	n.state.configVersion.Store(next.Version)
 	n.metrics.recordConfig(source, next.Version)
-	event.ConfigApplied.On(n.log).Uint64("version", next.Version).Uint64("revision", o.Version).Str("source", string(source)).Int("tenants", len(next.Tenants.Tenants())).Send()
+	event.ConfigApplied.On(n.log).Uint64("version", next.Version).Uint64("revision", n.configRevision.Load()).Str("source", string(source)).Int("tenants", len(next.Tenants.Tenants())).Send()
 	n.entrance.applyConfig(next)
 	n.gate.applyConfig(next)
 }
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -149,6 +149,15 @@
 	}, configApplyTime, 10*time.Millisecond)
 }
 
+// Guards against nodes that get no configurations while the leader still runs a release whose polls name them by the store's revision.
+func TestPollsOfEarlierReleasesCarryConfigurations(t *testing.T) {
+	n := newIdleNode(t)
+	n.coordinator.handlePoll(n.clock.Now(), &fleet.Poll{ConfigRevision: 9, Config: []byte(standin.Configuration(2, "q"))})
+	require.Equal(t, uint64(2), n.state.configVersion.Load())
+	require.False(t, n.isAnnounced(&fleet.Poll{ConfigRevision: 9}))
+	require.True(t, n.isAnnounced(&fleet.Poll{ConfigRevision: 10}), "the node reads it from the store")
+}
+
 // Guards against calls to the store that grow with nodes times changes: a start costs few calls, configurations cost none.
 func TestOperatorObjectsCostFewCalls(t *testing.T) {
 	r := newTestFleet(t, 3)
@@ -183,7 +192,7 @@
 func TestPollsCarrySmallConfigurations(t *testing.T) {
 	n := newIdleNode(t)
 	poll := func(reported uint64, size int) *fleet.Poll {
-		n.state.configDocument.Store(&store.Object{Version: 7, Value: make([]byte, size)})
+		n.state.configDocument.Store(&configDocument{7, make([]byte, size)})
 		n.state.configVersion.Store(7)
 		p := &fleet.Poll{}
 		node := &polledNode{}
@@ -224,8 +233,8 @@
 		leader.operatorUnread = true
 		node, refused := &polledNode{}, &polledNode{}
 		leader.polledNodes["h"] = node
-		value := []byte(standin.Configuration(2, "q") + strings.Repeat(" ", size))
-		reader.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: 9, Value: value}, sourceStore)
+		value := []byte(standin.Configuration(7, "q") + strings.Repeat(" ", size))
+		reader.applyStoredConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: 9, Value: value}, sourceStore)
 		poll := leader.newPoll(leader.clock.Now(), node, &fleet.Target{}, leader.state.view.Load())
 		poll.OperatorUnread, poll.ConfigHeld = true, leader.state.configVersion.Load()
 		reader.coordinator.nextOperatorFetch = reader.clock.Now().Add(time.Hour) // It has just read the objects.
@@ -235,7 +244,7 @@
 		refused.Report = &fleet.Report{Host: "refused", ConfigVersion: 1}
 		p := &fleet.Poll{}
 		leader.announceConfig(p, refused)
-		require.Equal(t, uint64(9), p.ConfigVersion)
+		require.Equal(t, uint64(7), p.ConfigVersion, "the operator's version, not the store's")
 		require.Equal(t, size == 0, len(p.Config) > 0, "polls carry small configurations")
 
 		poll = leader.newPoll(leader.clock.Now(), node, &fleet.Target{}, leader.state.view.Load())
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -11,7 +11,6 @@
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/ingress"
 	"github.com/citronvane/citronvane/internal/keyspace"
-	"github.com/citronvane/citronvane/internal/store"
 )
 
 // Durations of the node. docs/settings.md lists them with their reasons.
@@ -130,11 +129,11 @@
 	view      atomic.Pointer[fleet.View]
 	config    atomic.Pointer[ingress.Config]
 	evacuated atomic.Pointer[map[string]clock.Instant]
-	// configVersion is the store version of the current configuration, evacuatedRevision the revision of the evacuated zones.
+	// configVersion is the operator's version of the current configuration, evacuatedRevision the revision of the evacuated zones.
 	configVersion     atomic.Uint64
 	evacuatedRevision atomic.Uint64
-	// configDocument is the object of the current configuration, with digests in place of tenants' keys.
-	configDocument atomic.Pointer[store.Object]
+	// configDocument is the current configuration as nodes send it to each other.
+	configDocument atomic.Pointer[configDocument]
 	localTarget    atomic.Pointer[localTarget]
 	draining       atomic.Bool
 	// stopDeadline is the instant at which a stopping node exits, 0 while it is not stopping.
@@ -151,6 +150,12 @@
 	changed chan struct{}
 }
 
+// configDocument is an encoded configuration with digests in place of tenants' keys.
+type configDocument struct {
+	version uint64 // the operator's version
+	value   []byte
+}
+
 func newState() *state {
 	s := &state{changed: make(chan struct{})}
 	s.view.Store(fleet.NewView())
--- a/internal/sidecar/tenants.go
+++ b/internal/sidecar/tenants.go
@@ -5,7 +5,6 @@
 
 	"github.com/citronvane/citronvane/internal/answer"
 	"github.com/citronvane/citronvane/internal/ingress"
-	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/wire"
 	"github.com/citronvane/citronvane/platform"
 )
@@ -68,15 +67,13 @@
 	return config != nil && config.Tenants != nil
 }
 
-// documentForNodes returns the object of a configuration as nodes may send it to each other: it contains no keys of tenants.
-func documentForNodes(o store.Object, hasTenants bool) *store.Object {
-	if !hasTenants {
-		return &o
-	}
-	value, err := platform.WithoutKeys(o.Value)
-	if err != nil {
-		return nil // Polls then carry only the version, and each node reads the configuration from the store.
+// documentForNodes returns a configuration as nodes may send it to each other: it contains no keys of tenants.
+func documentForNodes(version uint64, value []byte, hasTenants bool) *configDocument {
+	if hasTenants {
+		var err error
+		if value, err = platform.WithoutKeys(value); err != nil {
+			return nil // Polls then carry only the version, and each node reads the configuration from the store.
+		}
 	}
-	o.Value = value
-	return &o
+	return &configDocument{version, value}
 }
--- a/internal/sidecar/tenants_test.go
+++ b/internal/sidecar/tenants_test.go
@@ -120,7 +120,7 @@
 	r.requireStatus(key, "/k/x", 200)
 	r.requireStatus("wrong", "/k/x", 401)
 	for _, h := range r.hosts {
-		require.NotContains(t, string(h.node.state.configDocument.Load().Value), key)
+		require.NotContains(t, string(h.node.state.configDocument.Load().value), key)
 	}
 }
 
--- a/internal/sidecar/view_test.go
+++ b/internal/sidecar/view_test.go
@@ -127,7 +127,7 @@
 		view := fleet.NewView()
 		view.Targets["h"] = newUnresponsiveHost(t)
 		leader := newTestLeader(t, view)
-		leader.applyConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: 2, Value: []byte(standin.Configuration(2, "p"))}, sourceStore)
+		leader.applyStoredConfig(store.Object{Kind: platform.ConfigKind, Name: platform.ConfigName, Version: 9, Value: []byte(standin.Configuration(2, "p"))}, sourceStore)
 		node := &polledNode{viewSequence: leader.history.Sequence()}
 		node.Report = &fleet.Report{ConfigVersion: reported}
 		leader.polledNodes["h"] = node
