Order evacuated zones by the store's era and revision

After the store came back from a copy, targets went on receiving work in a zone that the operator had taken out, until the store's revisions were above those of before: nodes dropped every list and event with a lower revision. A watch from a revision that had been given out again would have missed changes without an error.

Nothing read Store-Era. The client of the store now keeps the era, and versions of the operator's kinds are (era, revision); a watch whose position is of another era fails as compacted, which makes the follower list. A missing era counts as the last one; one that is no number, stated twice, enormous or lower is logged once (6059) and stops nothing. A rise is logged (6058) and counted.

--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -29,7 +29,7 @@
 	storeUp  atomic.Bool
 
 	requests, refusals, storeCalls, heartbeats, rangeMoves, retries, paceProbes, panics, tenantRequests, quotaCalls, endedCallers, nestedCalls metric.Int64Counter
-	configsApplied, operatorReads                                                                                                              metric.Int64Counter
+	configsApplied, operatorReads, restores                                                                                                    metric.Int64Counter
 	latency, runDuration                                                                                                                       metric.Float64Histogram
 	configVersion                                                                                                                              metric.Int64Gauge
 }
@@ -68,6 +68,7 @@
 	m.panics = counter("citronvane.panics", "panics that were contained, by task")
 	m.endedCallers = counter("citronvane.callers.ended", "connections and requests of callers that were refused or ended because of the bounds on callers, by reason")
 	m.configsApplied = counter("citronvane.config.applied", "configurations that took effect, by source: store, poll, report or node")
+	m.restores = counter("citronvane.store.restores", "returns of the store from a copy that this node has seen")
 	m.operatorReads = counter("citronvane.operator.reads", "reads of the operator's objects, by reason and outcome")
 	m.configVersion, err = meter.Int64Gauge("citronvane.config.version", metric.WithDescription("version of the configuration in force, 0 if there is none"))
 	instrumentErrs = append(instrumentErrs, err)
@@ -102,6 +103,8 @@
 	m.configVersion.Record(context.Background(), int64(version))
 }
 
+func (m *metrics) countRestore() { m.restores.Add(context.Background(), 1) }
+
 func (m *metrics) countOperatorRead(reason readReason, err error) {
 	outcome := "ok"
 	if err != nil {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -189,6 +189,8 @@
 	}
 	n.metrics.countStoreCall(call, outcome)
 	switch {
+	case call == platform.CallEra:
+		event.EraInvalid.On(n.log).Err(err).Send()
 	case call == platform.CallDecode:
 		n.lines.logLimited(func(l *log.Logger) { event.ObjectInvalid.On(l).Err(err).Send() }) // The call itself succeeded.
 	case err == nil || errs.Is(err, errs.NotFound) || errs.Is(err, errs.Conflict) || errs.Is(err, errs.Compacted):
@@ -202,4 +204,10 @@
 	}
 }
 
+// observeRestore logs that the store came back from a copy.
+func (n *node) observeRestore(before, after uint64) {
+	n.metrics.countRestore()
+	event.StoreRestored.On(n.log).Uint64("era", after).Uint64("era_before", before).Send()
+}
+
 func sleep(ctx context.Context, d time.Duration) bool { return clock.Sleep(ctx, d) }
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -62,7 +62,7 @@
 	n.account = memory.NewAccount(int64(s.Callers.WithDefaults().MemoryShare * s.MemoryMB * bytesPerMB))
 	n.callers = newConnTable(s, n.account)
 	n.crashes = newCrashWatch(n.processIncarnation)
-	n.store = platform.NewStore(s.Store.Address, n.observeStoreCall)
+	n.store = platform.NewStore(s.Store.Address, n.observeStoreCall, n.observeRestore)
 	n.quotas = newQuotas(n)
 	n.gate = newGate(n)
 	n.entrance = newEntrance(n)
