Keep zones evacuated while a restored store lacks their entries

A zone that the operator had taken out would have received work again after the store came back from a copy that is older than the entry, until the operator wrote it again: a list replaces the set of evacuated zones.

A zone that a list of a later era lacks now stays evacuated for 10 s, unless its entry is deleted by an event since. Each node does so by its own knowledge; polls, reports and answers name only what the store lists, so that a node can't keep a zone evacuated at others.

TestZonesStayEvacuatedAfterARestore plays it; without the retention the zone is used at once (the list alone decided before).

--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -218,6 +218,7 @@
 
 // tick makes the time-driven decisions of the control loop.
 func (c *coordinator) tick(now clock.Instant) {
+	c.releaseKeptZones(now)
 	if !c.isLeader {
 		if now.Sub(max(c.lastPolled, c.campaignEnded)) > electionTimeout+c.jitter && !c.campaigning && c.state.viewLoaded.Load() && !c.state.draining.Load() {
 			c.campaign(now)
@@ -370,7 +371,7 @@
 		list := c.quarantined
 		p.Quarantined = &list
 	}
-	for zone := range *c.state.evacuated.Load() {
+	for zone := range *c.state.listedZones.Load() {
 		p.EvacuatedZones = append(p.EvacuatedZones, zone)
 	}
 	if n.answered {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -63,8 +63,10 @@
 
 	// processIncarnation is a random number that distinguishes this process from earlier ones on the host.
 	processIncarnation uint64
-	// applyMu serializes changes of the configuration and of the evacuated zones.
-	applyMu sync.Mutex
+	// applyMu serializes changes of the configuration and of the evacuated zones, and guards zonesKeptUntil, until when a zone that the
+	// store no longer lists stays evacuated because the store came back from a copy.
+	applyMu        sync.Mutex
+	zonesKeptUntil clock.Instant
 	// configRevision is the store revision of the configuration that was read last.
 	configRevision atomic.Uint64
 
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -199,7 +199,7 @@
 		answer.ConfigVersion, answer.Config = document.version, document.value
 	}
 	answer.EvacuatedRevision = n.state.evacuatedRevision.Load()
-	answer.EvacuatedZones = slices.Sorted(maps.Keys(*n.state.evacuated.Load()))
+	answer.EvacuatedZones = slices.Sorted(maps.Keys(*n.state.listedZones.Load()))
 }
 
 // addOperatorState adds what this node knows of the operator's objects to a report for the leader.
@@ -210,7 +210,7 @@
 	}
 	if revision := c.state.evacuatedRevision.Load(); revision > c.lastPoll.EvacuatedRevision {
 		r.EvacuatedRevision = revision
-		r.EvacuatedZones = slices.Sorted(maps.Keys(*c.state.evacuated.Load()))
+		r.EvacuatedZones = slices.Sorted(maps.Keys(*c.state.listedZones.Load()))
 	}
 }
 
@@ -345,35 +345,53 @@
 func (n *node) applyEvacuations(changes []store.Change, revision uint64, replace bool) {
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
-	if held := n.state.evacuatedRevision.Load(); revision < held {
+	held := n.state.evacuatedRevision.Load()
+	if revision < held {
 		n.lines.logLimited(func(l *log.Logger) {
 			event.StaleObject.On(l).Str("object", platform.EvacuationKind).Uint64("revision", revision).Uint64("held", held).Send()
 		})
 		return
 	}
-	now := n.clock.Now()
-	old := *n.state.evacuated.Load()
-	zones := map[string]clock.Instant{}
+	if held > 0 && store.Era(revision) > store.Era(held) {
+		n.zonesKeptUntil = n.clock.Now().Add(restoredZoneRetention)
+	}
+	listed := map[string]bool{}
 	if !replace {
-		for zone, since := range old {
-			zones[zone] = since
-		}
+		maps.Copy(listed, *n.state.listedZones.Load())
 	}
+	deleted := map[string]bool{}
 	for _, c := range changes {
 		if c.Deleted {
-			delete(zones, c.Name)
-		} else if since, out := old[c.Name]; out {
-			zones[c.Name] = since
+			delete(listed, c.Name)
+			deleted[c.Name] = true
 		} else {
-			zones[c.Name] = now
+			listed[c.Name] = true
 		}
 	}
+	n.state.listedZones.Store(&listed)
 	n.state.evacuatedRevision.Store(revision)
+	n.updateEvacuated(deleted)
+}
+
+// updateEvacuated puts the listed zones in force. After the store came back from a copy, a zone that the list lacks stays evacuated for a while,
+// unless its entry was deleted since: the copy may be older than the entry, which the operator then writes again. The caller holds applyMu.
+func (n *node) updateEvacuated(deleted map[string]bool) {
+	now := n.clock.Now()
+	old, listed := *n.state.evacuated.Load(), *n.state.listedZones.Load()
+	zones := map[string]clock.Instant{}
+	for zone := range listed {
+		zones[zone] = now
+	}
+	for zone, since := range old {
+		if listed[zone] || now < n.zonesKeptUntil && !deleted[zone] {
+			zones[zone] = since
+		}
+	}
 	if maps.Equal(old, zones) {
 		return
 	}
 	n.state.evacuated.Store(&zones)
-	event.EvacuationsChanged.On(n.log).Any("zones", slices.Sorted(maps.Keys(zones))).Uint64("revision", revision).Send()
+	event.EvacuationsChanged.On(n.log).Any("zones", slices.Sorted(maps.Keys(zones))).Uint64("revision", n.state.evacuatedRevision.Load()).Send()
 	if _, wasEvacuated := old[n.settings.AvailabilityZone]; wasEvacuated {
 		if _, isEvacuated := zones[n.settings.AvailabilityZone]; !isEvacuated {
 			n.gate.zoneReturned()
@@ -381,3 +399,13 @@
 	}
 	go n.post(n.coordinator.tick)
 }
+
+// releaseKeptZones ends the evacuation of zones that were kept after the store came back from a copy and are still not listed.
+func (n *node) releaseKeptZones(now clock.Instant) {
+	n.applyMu.Lock()
+	defer n.applyMu.Unlock()
+	if n.zonesKeptUntil > 0 && now >= n.zonesKeptUntil {
+		n.zonesKeptUntil = 0
+		n.updateEvacuated(nil)
+	}
+}
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -131,6 +131,37 @@
 	}, evacuationTime, 10*time.Millisecond)
 }
 
+// Guards against work for an evacuated zone whose entry is missing in the copy until the operator writes it again.
+func TestZonesStayEvacuatedAfterARestore(t *testing.T) {
+	version := func(era, revision uint64) uint64 {
+		v, ok := store.VersionIn(era, revision)
+		require.True(t, ok)
+		return v
+	}
+	entry := func(zone string, deleted bool) []store.Change {
+		return []store.Change{{Object: store.Object{Name: zone}, Deleted: deleted}}
+	}
+	n := newIdleNode(t)
+	evacuated := func(zone string) bool {
+		_, evacuated := n.state.evacuatedSince(zone)
+		return evacuated
+	}
+	n.applyEvacuations(entry("lost", false), version(1, 40), true)
+	n.applyEvacuations(entry("ended", false), version(1, 41), false)
+	n.applyEvacuations(entry("new", false), version(2, 9), true)
+	require.True(t, evacuated("lost"))
+	require.True(t, evacuated("new"))
+	poll := n.coordinator.newPoll(n.clock.Now(), &polledNode{}, &fleet.Target{}, n.state.view.Load())
+	require.Equal(t, []string{"new"}, poll.EvacuatedZones, "each node keeps zones by its own knowledge")
+	n.applyEvacuations(entry("ended", true), version(2, 10), false)
+	require.False(t, evacuated("ended"), "the operator has taken the zone back since")
+	n.releaseKeptZones(n.clock.Now())
+	require.True(t, evacuated("lost"))
+	n.releaseKeptZones(n.clock.Now().Add(restoredZoneRetention))
+	require.False(t, evacuated("lost"))
+	require.True(t, evacuated("new"))
+}
+
 // Guards against a node that starts after the store came back from an older copy, and takes the older configuration for the later one.
 func TestOlderConfigurationOfACopyIsReplaced(t *testing.T) {
 	r := newTestFleet(t, 3)
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -51,6 +51,9 @@
 	// operatorFetchInterval is the time between two such reads of a node, and operatorFetchBackoff that after a failed one.
 	operatorFetchInterval = time.Second
 	operatorFetchBackoff  = 2 * time.Second
+	// restoredZoneRetention is how long a zone stays evacuated that the store no longer lists after it came back from a copy. The operator
+	// writes lost entries again in that time.
+	restoredZoneRetention = 10 * time.Second
 	// operatorAskInterval is the time after which a node that is not polled and can't read the operator's objects asks other nodes again.
 	operatorAskInterval = 400 * time.Millisecond
 	// operatorAskNodes is the number of nodes that it asks at once. If the store refuses a third of the hosts, all 3 are among these in one
@@ -126,9 +129,11 @@
 
 // state holds the snapshots that request handlers read.
 type state struct {
-	view      atomic.Pointer[fleet.View]
-	config    atomic.Pointer[ingress.Config]
-	evacuated atomic.Pointer[map[string]clock.Instant]
+	view   atomic.Pointer[fleet.View]
+	config atomic.Pointer[ingress.Config]
+	// evacuated holds the evacuated zones and since when this node knows that they are, listedZones those that the store lists.
+	evacuated   atomic.Pointer[map[string]clock.Instant]
+	listedZones atomic.Pointer[map[string]bool]
 	// configVersion is the operator's version of the current configuration, evacuatedRevision the revision of the evacuated zones.
 	configVersion     atomic.Uint64
 	evacuatedRevision atomic.Uint64
@@ -160,6 +165,7 @@
 	s := &state{changed: make(chan struct{})}
 	s.view.Store(fleet.NewView())
 	s.evacuated.Store(&map[string]clock.Instant{})
+	s.listedZones.Store(&map[string]bool{})
 	s.localTarget.Store(&localTarget{notServingReason: "the target has not reported yet"})
 	return s
 }
