Treat an answer with a status outside 100 to 599 as broken

Callers got statuses 600 to 999 of a target unchanged. With a status under 100 the answer was read past like an interim one: where the target kept the connection open, the caller waited until its deadline (2.0 s of 2.0 s) though it was clear at once that no answer comes.

HTTP defines 100 to 599 (RFC 9110, section 15). An answer with another status now is a broken one: it is repeated where the request may be, and otherwise answered 502, which promises nothing. All answers of targets, also to health checks and nested calls, are read by this code.

TestStatusOutOfRangeIsABrokenAnswer failed before at 000, with the whole wait. Reports of heads cut in the middle and framed as whole do not apply: a cut head is never taken. An answer without a length stays whole if its connection ends with a close; TestAnswerWithoutLengthThatIsResetIsBroken, which held before, shows that a reset is not taken for one. docs/platform.md says why.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -48,6 +48,8 @@
 	maxStrayBytes = 64 << 10
 	// maxInterim is the number of 1xx answers that may precede the final one.
 	maxInterim = 8
+	// maxStatus is the highest status of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 )
 
 // Errors of Do.
@@ -401,6 +403,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			return nil, fmt.Errorf("the target answers with status %03d", response.StatusCode)
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -187,6 +187,51 @@
 	}
 }
 
+// Guards against an answer whose status no protocol defines: it reached callers, or was read past like an interim answer, so that the
+// caller waited until its deadline although the target had answered.
+func TestStatusOutOfRangeIsABrokenAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "700", "999"} {
+		c := serve(t, func(int, *http.Request) string {
+			return "HTTP/1.1 " + status + " Odd\r\nId: 1\r\nContent-Length: 2\r\n\r\nno" // The connection stays open.
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		_, err := c.Do(ctx, get("1", false))
+		require.ErrorIs(t, err, ErrBroken, status)
+		require.NoError(t, ctx.Err(), status)
+		cancel()
+	}
+}
+
+// Guards against an answer whose connection was reset on the way, taken for one that ended with its connection.
+func TestAnswerWithoutLengthThatIsResetIsBroken(t *testing.T) {
+	for _, size := range []int{0, 5, 2 * MaxBuffered} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		read := make(chan struct{})
+		go func() {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"+strings.Repeat("x", size))
+			<-read
+			_ = c.(*net.TCPConn).SetLinger(0) // Close resets the connection.
+			_ = c.Close()
+		}()
+		time.AfterFunc(100*time.Millisecond, func() { close(read) })
+		a, err := NewClient(listener.Addr().String()).Do(t.Context(), get("1", false))
+		if err == nil && a.Rest != nil {
+			_, err = io.Copy(io.Discard, a.Rest)
+			require.Error(t, err, size)
+			_ = a.Rest.Close()
+			continue
+		}
+		require.ErrorIs(t, err, ErrBroken, size)
+	}
+}
+
 func TestAnswerWithoutLengthEndsWithTheConnection(t *testing.T) {
 	c := serve(t, func(int, *http.Request) string { return "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole!close" })
 	a, err := c.Do(t.Context(), get("1", false))
