Ask other nodes again before all of the last round have answered

Rounds now begin each 0.4 s, whatever the last one waits for. Only the transfer of a large document holds them back.

--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -135,14 +135,17 @@
 	if now < c.nextOperatorAsk {
 		return
 	}
-	c.nextOperatorAsk = now.Add(configReadTimeout) // The end of the call sets an earlier time.
+	c.nextOperatorAsk = now.Add(operatorAskInterval)
 	report := c.member.buildReport(now)
 	relays := c.randomRelays(operatorAskNodes)
 	c.runAsyncWithin(configReadTimeout, func(ctx context.Context) func(clock.Instant) {
-		if relay, version := c.askNodes(ctx, report, relays); version > c.state.configVersion.Load() {
-			_, _ = c.askNode(ctx, configReadTimeout, store.MaxValueBytes, report, relay) // A failure is logged, and others are asked next.
+		relay, version := c.askNodes(ctx, report, relays)
+		if version <= c.state.configVersion.Load() {
+			return func(clock.Instant) {}
 		}
-		return func(after clock.Instant) { c.nextOperatorAsk = after.Add(operatorAskInterval) }
+		c.post(func(began clock.Instant) { c.nextOperatorAsk = began.Add(configReadTimeout) }) // One transfer of a large document at a time.
+		_, _ = c.askNode(ctx, configReadTimeout, store.MaxValueBytes, report, relay)           // A failure is logged, and others are asked next.
+		return func(after clock.Instant) { c.nextOperatorAsk = after }
 	})
 }
 
