Find a silent connection lost although each request on it is short

A node whose connection to the coordinator had gone silent, without a reset, was not polled for seconds: it got neither configurations nor lease renewals from the coordinator, although a new connection would have worked at once.

Two causes in the client of the relay. The count of unanswered probes began anew whenever the connection had no stream, and a poll ends after 0.8 s, which is two probes. And a stream that started moved the pending read deadline later, so that the read seemed to have taken longer than its interval, which counts as a standstill of this process and not as silence.

Probes now stay unanswered when their stream ends, and go on until an answer or the loss of the connection. The read deadline is only ever shortened.

TestUnansweredProbesOutliveTheirStreams covers the count alone.

--- a/internal/relay/clientconn.go
+++ b/internal/relay/clientconn.go
@@ -53,6 +53,8 @@
 	reserved int
 	retired  bool
 	err      error
+	// readDeadline is when the pending read ends.
+	readDeadline time.Time
 }
 
 // dial connects and proves the cluster secret in both directions.
@@ -152,7 +154,7 @@
 	}()
 	var silence prober
 	for {
-		interval := c.await()
+		interval := c.await(silence.unanswered > 0)
 		waiting := time.Now()
 		n, err := c.net.Read(c.buffer)
 		if n > 0 {
@@ -173,21 +175,28 @@
 	}
 }
 
-// await sets the read deadline: a connection without streams has no answer to wait for, and a retired one is closed at
-// once. A closed connection fails the read.
-func (c *clientConn) await() time.Duration {
-	if c.load() == 0 {
-		if c.isRetired() {
-			_ = c.net.SetReadDeadline(time.Now())
-			return 0
-		}
-		_ = c.net.SetReadDeadline(time.Now().Add(idleInterval))
-		if c.load() == 0 {
-			return idleInterval // A stream that starts from here on sets the deadline itself.
+// await sets the read deadline and returns the time until then: a connection without streams and unanswered probes has no answer to wait
+// for, and a retired one without streams is closed at once.
+func (c *clientConn) await(probed bool) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	interval := probeInterval
+	if len(c.streams)+c.reserved == 0 {
+		switch {
+		case c.retired:
+			interval = 0
+		case !probed:
+			interval = idleInterval // A stream that starts from here on shortens it.
 		}
 	}
-	_ = c.net.SetReadDeadline(time.Now().Add(probeInterval))
-	return probeInterval
+	c.setReadDeadline(interval)
+	return interval
+}
+
+// setReadDeadline sets the read deadline. A closed connection fails the read. The caller holds mu.
+func (c *clientConn) setReadDeadline(after time.Duration) {
+	c.readDeadline = time.Now().Add(after)
+	_ = c.net.SetReadDeadline(c.readDeadline)
 }
 
 // prober decides what to do with a silent connection.
@@ -201,12 +210,11 @@
 func (p *prober) heard() { *p = prober{} }
 
 // silent returns whether to probe the server, and whether the connection is lost. Silence while nothing was asked for says
-// nothing, so that only unanswered probes count; neither does silence while this process stood still, which took much longer
-// than the interval.
+// nothing, so that only unanswered probes count, also those whose streams have ended: else a connection on which streams are short
+// is never found lost. Silence while this process stood still, which took much longer than the interval, says nothing either.
 func (p *prober) silent(streams int, interval, took time.Duration) (probe, lost bool) {
 	p.quiet += interval
-	if streams == 0 {
-		p.unanswered = 0
+	if streams == 0 && p.unanswered == 0 {
 		return false, p.quiet >= maxIdle
 	}
 	if took > interval+pauseLimit && p.pauses < maxPauses {
@@ -334,8 +342,8 @@
 		}
 		c.reserved--
 		c.streams[s.id] = s
-		if len(c.streams) == 1 {
-			_ = c.net.SetReadDeadline(time.Now().Add(probeInterval)) // A closed connection fails the read.
+		if time.Until(c.readDeadline) > probeInterval { // A later deadline would look like a standstill of this process.
+			c.setReadDeadline(probeInterval)
 		}
 		return nil
 	})
--- a/internal/relay/prober_test.go
+++ b/internal/relay/prober_test.go
@@ -25,6 +25,17 @@
 	require.False(t, lost)
 }
 
+// Guards against probes that are forgotten when their stream ends, so that a connection with short streams is never found lost.
+func TestUnansweredProbesOutliveTheirStreams(t *testing.T) {
+	var p prober
+	for i := range maxUnanswered {
+		_, lost := p.silent((i+1)%2, probeInterval, probeInterval)
+		require.False(t, lost)
+	}
+	_, lost := p.silent(0, probeInterval, probeInterval)
+	require.True(t, lost)
+}
+
 func TestIdleConnectionIsClosedInTheEnd(t *testing.T) {
 	var p prober
 	for range int(maxIdle/idleInterval) - 1 {
