Ask other nodes as soon as polls are missing, by a query of its own

One node answered 404 for a route that had been added 3.6 s before.

It now asks them at once, beside the read, until a read succeeds: most nodes are still polled, so the answer is there. So that this costs little when a coordinator is lost and all nodes ask, the question is a query of its own, which names only the version, instead of a whole report that the receiver would take for one of its nodes.

--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -77,8 +77,8 @@
 	SentAt    int64  `json:"sent"`
 	// Refused means that the node rejected the poll because it knows a later coordinator.
 	Refused bool `json:"refused,omitempty"`
-	// OperatorStateLimit, if it is not 0, asks the receiver for the operator's objects, whether it is the coordinator or not. The answer has
-	// the document of a later configuration if it has at most this many bytes, and otherwise its version.
+	// OperatorStateLimit is set in a query for the operator's objects. The answer has the document of a later configuration than
+	// ConfigVersion if it has at most this many bytes, and otherwise its version.
 	OperatorStateLimit int `json:"operator_state_limit,omitempty"`
 	// CoordinatorEpoch is the epoch of the reporting node if it is the coordinator, otherwise 0.
 	CoordinatorEpoch uint64 `json:"leads,omitempty"`
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -35,10 +35,9 @@
 	configFetchedAt clock.Instant
 	// nextOperatorFetch is when this node may next read the operator's objects without an announcement.
 	nextOperatorFetch clock.Instant
-	// operatorReadBegan is when this node last began to read them, operatorReadAt when a read last succeeded. nextOperatorAsk is when it may
-	// next ask other nodes for them.
-	operatorReadBegan, operatorReadAt, nextOperatorAsk clock.Instant
-	lag                                                configLag
+	// operatorReadAt is when such a read last succeeded, nextOperatorAsk when this node may next ask other nodes for them.
+	operatorReadAt, nextOperatorAsk clock.Instant
+	lag                             configLag
 
 	isLeader bool
 	// leadershipVersion is the store version of the leadership record that names this node.
@@ -224,10 +223,10 @@
 			c.campaign(now)
 		}
 		if now.Sub(c.lastPolled) > configFetchTimeout && (!c.state.startsFleet() || now.Sub(c.startedAt) > firstPollWait) {
-			if c.operatorReadBegan > c.lastPolled && c.operatorReadAt < c.lastPolled {
+			c.fetchOperatorState(now, readUnpolled)
+			if c.operatorReadAt < c.lastPolled { // The read may take long or fail, and other nodes may still be polled.
 				c.askOperatorState(now)
 			}
-			c.fetchOperatorState(now, readUnpolled)
 		}
 		c.logConfigLag(now)
 		return
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -109,7 +109,7 @@
 	if control && r.Head.Method == methodQuota {
 		return g.quotas.serveMessage(r.Body, w)
 	}
-	if control && (r.Head.Method == methodPoll || r.Head.Method == methodReport) {
+	if control && (r.Head.Method == methodPoll || r.Head.Method == methodReport || r.Head.Method == methodOperatorState) {
 		data, err := g.handleMessage(ctx, r.Head, r.Body)
 		if err != nil {
 			return err
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -36,9 +36,10 @@
 
 // Methods of control messages between nodes. Forwarded requests use the methods of HTTP.
 const (
-	methodPoll   = "POLL"
-	methodReport = "REPORT"
-	methodQuota  = "QUOTA"
+	methodPoll          = "POLL"
+	methodReport        = "REPORT"
+	methodOperatorState = "OPERATOR-STATE"
+	methodQuota         = "QUOTA"
 )
 
 // relaySecret distinguishes citronvane nodes from other programs on the port. It does not protect against attackers: the platform
@@ -168,12 +169,14 @@
 		}
 		n.post(func(now clock.Instant) {
 			n.coordinator.handleReport(now, r, true)
-			answer := &fleet.Report{Host: n.settings.Host, CoordinatorEpoch: n.coordinator.leadershipRound(), Departures: n.departures.list()}
-			if r.OperatorStateLimit > 0 {
-				n.addRequestedOperatorState(answer, r)
-			}
-			reply <- answer
+			reply <- &fleet.Report{Host: n.settings.Host, CoordinatorEpoch: n.coordinator.leadershipRound(), Departures: n.departures.list()}
 		})
+	case methodOperatorState:
+		r, err := fleet.DecodeReport(data)
+		if err != nil {
+			return nil, err
+		}
+		reply <- n.operatorState(r)
 	}
 	select {
 	case r := <-reply:
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -108,7 +108,6 @@
 		return
 	}
 	c.nextOperatorFetch = now.Add(operatorFetchInterval)
-	c.operatorReadBegan = now
 	c.runAsyncWithin(configReadTimeout, func(ctx context.Context) func(clock.Instant) {
 		err := c.fetchConfig(ctx)
 		if err == nil {
@@ -136,26 +135,25 @@
 		return
 	}
 	c.nextOperatorAsk = now.Add(operatorAskInterval)
-	report := c.member.buildReport(now)
 	relays := c.randomRelays(operatorAskNodes)
 	c.runAsyncWithin(configReadTimeout, func(ctx context.Context) func(clock.Instant) {
-		relay, version := c.askNodes(ctx, report, relays)
+		relay, version := c.askNodes(ctx, relays)
 		if version <= c.state.configVersion.Load() {
 			return func(clock.Instant) {}
 		}
 		c.post(func(began clock.Instant) { c.nextOperatorAsk = began.Add(configReadTimeout) }) // One transfer of a large document at a time.
-		_, _ = c.askNode(ctx, configReadTimeout, store.MaxValueBytes, report, relay)           // A failure is logged, and others are asked next.
+		_, _ = c.askNode(ctx, configReadTimeout, store.MaxValueBytes, relay)                   // A failure is logged, and others are asked next.
 		return func(after clock.Instant) { c.nextOperatorAsk = after }
 	})
 }
 
 // askNodes asks the nodes at once, and returns the highest configuration version that one of them has, and that node.
-func (n *node) askNodes(ctx context.Context, report *fleet.Report, relays []string) (relay string, version uint64) {
+func (n *node) askNodes(ctx context.Context, relays []string) (relay string, version uint64) {
 	versions := make([]uint64, len(relays))
 	var group sync.WaitGroup
 	for i, relay := range relays {
 		group.Go(func() {
-			n.protect("ask", func() { versions[i], _ = n.askNode(ctx, pollTimeout, maxPolledConfigBytes, report, relay) }) // The others may answer.
+			n.protect("ask", func() { versions[i], _ = n.askNode(ctx, pollTimeout, maxPolledConfigBytes, relay) }) // The others may answer.
 		})
 	}
 	group.Wait()
@@ -168,10 +166,9 @@
 }
 
 // askNode asks a node for the operator's objects, applies those that it answers, and returns its configuration version.
-func (n *node) askNode(ctx context.Context, timeout time.Duration, limit int, report *fleet.Report, relay string) (uint64, error) {
-	request := *report
-	request.OperatorStateLimit = limit
-	r, err := n.sendMessageWithin(ctx, timeout, relay, methodReport, request.Encode())
+func (n *node) askNode(ctx context.Context, timeout time.Duration, limit int, relay string) (uint64, error) {
+	query := &fleet.Report{Host: n.settings.Host, ConfigVersion: n.state.configVersion.Load(), OperatorStateLimit: limit}
+	r, err := n.sendMessageWithin(ctx, timeout, relay, methodOperatorState, query.Encode())
 	if err != nil {
 		event.OperatorReadFailed.On(n.log).Str("reason", "asked node").Str("from", relay).Err(err).Send()
 		return 0, err
@@ -195,14 +192,16 @@
 	return relays[:min(n, len(relays))]
 }
 
-// addRequestedOperatorState adds the operator's objects to the answer to a report that asks for them.
-func (n *node) addRequestedOperatorState(answer, asked *fleet.Report) {
-	answer.ConfigVersion = n.state.configVersion.Load()
-	if document := n.state.configDocument.Load(); document != nil && document.version > asked.ConfigVersion && len(document.value) <= asked.OperatorStateLimit {
+// operatorState answers another node's query for the operator's objects.
+func (n *node) operatorState(query *fleet.Report) *fleet.Report {
+	answer := &fleet.Report{
+		Host: n.settings.Host, ConfigVersion: n.state.configVersion.Load(),
+		EvacuatedRevision: n.state.evacuatedRevision.Load(), EvacuatedZones: slices.Sorted(maps.Keys(*n.state.listedZones.Load())),
+	}
+	if document := n.state.configDocument.Load(); document != nil && document.version > query.ConfigVersion && len(document.value) <= query.OperatorStateLimit {
 		answer.ConfigVersion, answer.Config = document.version, document.value
 	}
-	answer.EvacuatedRevision = n.state.evacuatedRevision.Load()
-	answer.EvacuatedZones = slices.Sorted(maps.Keys(*n.state.listedZones.Load()))
+	return answer
 }
 
 // addOperatorState adds what this node knows of the operator's objects to a report for the leader.
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/platform"
@@ -90,6 +91,19 @@
 		r.store.Configure(standin.Configuration(2, "q"))
 		r.requireConfig("/q/x", leader)
 	})
+	t.Run("connections of a node to the coordinator and to the store go silent", func(t *testing.T) {
+		r := newTestFleet(t, 3)
+		leader, silent := r.leader(), r.hosts[0]
+		if silent == leader {
+			silent = r.hosts[1]
+		}
+		silent.storeProxy.ChangeFaults(func(d *standin.Faults) { d.Silent = 1 })
+		leader.node.post(func(clock.Instant) {
+			leader.node.coordinator.polledNodes[silent.node.settings.Host].pollPending = true // The poll is never answered.
+		})
+		r.store.Configure(standin.Configuration(2, "q"))
+		r.requireConfig("/q/x", nil)
+	})
 	t.Run("the store refuses a node and the polls can't carry the document", func(t *testing.T) {
 		r := newTestFleet(t, 3)
 		refused := r.hosts[0]
