Prefer another connection to a node while one leaves probes unanswered

When the connection between the coordinator and a node went silent, the polls failed for 2.0 s until it counted as lost. The last answer was then up to 3.5 s old, and the coordinator takes a node for lost after 2.2 s, so that a healthy target could lose its keys to a revocation.

A connection that has left a probe unanswered for 0.4 s is now suspect: another one is opened if all to the node are, and new streams prefer one that is not. Running streams stay where they are, because answers on a full link may be late by more than a second. At most four connections are open, as before.

--- a/internal/relay/clientconn.go
+++ b/internal/relay/clientconn.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -27,6 +28,9 @@
 	// maxUnanswered is the number of probes without an answer after which a connection with streams counts as lost. Answers on a
 	// full link of a small host may be late by more than a second, and giving their connection up loses them all.
 	maxUnanswered = 4
+	// suspectAfter is the number of unanswered probes after which new streams prefer another connection. A connection may go silent while
+	// new ones work, and the server's node counts as lost after 2.2 s.
+	suspectAfter = 1
 	// maxIdle is when a connection without streams is closed.
 	maxIdle = 5 * time.Minute
 	// maxPauses bounds the intervals in a row that don't count because this process stood still.
@@ -55,6 +59,8 @@
 	err      error
 	// readDeadline is when the pending read ends.
 	readDeadline time.Time
+	// suspect is set while suspectAfter probes are unanswered.
+	suspect atomic.Bool
 }
 
 // dial connects and proves the cluster secret in both directions.
@@ -159,6 +165,9 @@
 		n, err := c.net.Read(c.buffer)
 		if n > 0 {
 			silence.heard()
+			if c.suspect.Load() {
+				c.suspect.Store(false)
+			}
 			if err := c.frames.feed(c.buffer[:n], c.receive); err != nil {
 				return err
 			}
@@ -239,6 +248,9 @@
 	case lost || streams == 0 && c.isRetired():
 		return errs.New(errs.Unavailable, "", "the connection is idle")
 	case probe:
+		if silence.unanswered > suspectAfter && !c.suspect.Swap(true) {
+			c.pool.replaceSuspect()
+		}
 		return c.out.control(frame{kind: kindPing})
 	}
 	return nil
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -74,18 +74,28 @@
 	}
 }
 
+// least returns the connection with the fewest streams, a suspect one only if there is no other. The caller holds mu.
 func (p *pool) least() (*clientConn, int) {
 	var best *clientConn
-	streams := 0
+	streams, suspect := 0, false
 	for _, c := range p.conns {
-		n := c.load()
-		if best == nil || n < streams {
-			best, streams = c, n
+		n, s := c.load(), c.suspect.Load()
+		if best == nil || suspect && !s || suspect == s && n < streams {
+			best, streams, suspect = c, n, s
 		}
 	}
 	return best, streams
 }
 
+// replaceSuspect opens another connection if all are suspect, so that later streams need not wait until these are lost.
+func (p *pool) replaceSuspect() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if best, _ := p.least(); best != nil && best.suspect.Load() && !p.dialing && !p.closed && len(p.conns) < maxConns {
+		p.dial()
+	}
+}
+
 // dial connects in the background, so that a caller that gives up does not spoil it for others.
 func (p *pool) dial() {
 	p.dialing = true
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -50,9 +50,9 @@
 }
 
 // Guards against a silent connection that is never given up because each request on it ends before enough probes are unanswered. A coordinator
-// whose polls time out one after the other would not reach the node again.
+// would not reach a node with its polls, and would take it for lost after 2.2 s.
 func TestSilentConnectionIsReplacedBetweenShortRequests(t *testing.T) {
-	const timeout, gap, contact = 800 * time.Millisecond, 200 * time.Millisecond, 3 * time.Second
+	const timeout, gap, unresponsive = 800 * time.Millisecond, 200 * time.Millisecond, 2200 * time.Millisecond
 	_, client, address := start(t, echo)
 	via, silence := startSilencer(t, address)
 	connect(t, client, via)
@@ -67,5 +67,5 @@
 		}
 		_, err = io.Copy(io.Discard, response.Body)
 		return err == nil && response.Body.Close() == nil
-	}, contact, time.Millisecond)
+	}, unresponsive, time.Millisecond)
 }
