Name evacuated zones by era and revision between nodes, and split the files

During a rolling upgrade a node of this release would have ignored the evacuated zones in the polls of a coordinator of an earlier one, whose revisions lack the era, and a node of an earlier release would have ignored what it reads itself after a poll with a version that contains one.

Polls, reports and answers now name the era in a field of its own beside the revision; without it, the receiver assumes its own era. The revision of the configuration, which only earlier releases go by, is the plain one again.

The evacuated zones and the queries to other nodes move to files of their own; their code is otherwise unchanged. TestPollsOfEarlierReleasesCarryConfigurations covers both directions that this release can see.

--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -28,9 +28,11 @@
 	ConfigRevision uint64 `json:"config,omitempty"`
 	// Config is the configuration of that version, if the node has an older one and it is small enough.
 	Config json.RawMessage `json:"config_document,omitempty"`
-	// EvacuatedZones lists the zones that were out of service at EvacuatedRevision, a revision of the store.
+	// EvacuatedZones lists the zones that were out of service at EvacuatedRevision, a revision of the store in EvacuatedEra. Earlier releases
+	// name no era.
 	EvacuatedZones    []string `json:"evacuated,omitempty"`
 	EvacuatedRevision uint64   `json:"evacuated_at,omitempty"`
+	EvacuatedEra      uint64   `json:"evacuated_era,omitempty"`
 	// OperatorUnread means that the coordinator can't read the configuration and the evacuations, so that the node reads
 	// them and reports what is newer.
 	OperatorUnread bool `json:"operator_unread,omitempty"`
@@ -68,9 +70,10 @@
 	ConfigVersion uint64 `json:"config_version,omitempty"`
 	// Config is the configuration of that version, if the receiver can't read it. In an answer to a poll it is a small one.
 	Config json.RawMessage `json:"config_document,omitempty"`
-	// EvacuatedZones and EvacuatedRevision are set if the node has read the evacuated zones later than the coordinator.
+	// EvacuatedZones, EvacuatedRevision and EvacuatedEra are set if the node has read the evacuated zones later than the coordinator.
 	EvacuatedZones    []string `json:"evacuated,omitempty"`
 	EvacuatedRevision uint64   `json:"evacuated_at,omitempty"`
+	EvacuatedEra      uint64   `json:"evacuated_era,omitempty"`
 	// ProcessID is a random number that identifies the process of the node. SentAt is the time of the report on the
 	// clock of the node.
 	ProcessID uint64 `json:"process"`
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -364,7 +364,8 @@
 // newPoll returns the next poll for a node, with the view changes that it has not seen and the renewal of its lease.
 func (c *coordinator) newPoll(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View) *fleet.Poll {
 	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Epoch: c.round,
-		EvacuatedRevision: c.state.evacuatedRevision.Load(), Departures: c.departures.list()}
+		Departures: c.departures.list()}
+	p.EvacuatedEra, p.EvacuatedRevision = c.evacuatedAt()
 	c.announceConfig(p, n)
 	if n.Report != nil && n.Report.QuarantineVersion != c.quarantined.Version {
 		list := c.quarantined
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -3,12 +3,8 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
-	"time"
-
-	"github.com/phuslu/log"
 
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/event"
@@ -35,28 +31,16 @@
 	case c.isAnnounced(p):
 		c.fetchAnnouncedConfig(now)
 	}
-	c.applyToldEvacuations(p.EvacuatedZones, p.EvacuatedRevision)
+	c.applyToldEvacuations(p.EvacuatedZones, p.EvacuatedEra, p.EvacuatedRevision)
 	if p.OperatorUnread {
 		c.fetchOperatorState(now, readAsked)
 	}
 }
 
-// applyToldEvacuations applies the evacuated zones that another node has read at the revision, if that is later.
-func (n *node) applyToldEvacuations(zones []string, revision uint64) {
-	if revision <= n.state.evacuatedRevision.Load() {
-		return
-	}
-	changes := make([]store.Change, len(zones))
-	for i, zone := range zones {
-		changes[i].Name = zone
-	}
-	n.applyEvacuations(changes, revision, true)
-}
-
 // isAnnounced reports whether the poll names a later configuration than this node has.
 func (n *node) isAnnounced(p *fleet.Poll) bool {
 	if p.ConfigVersion == 0 { // The leader runs an earlier release.
-		return p.ConfigRevision > n.configRevision.Load()
+		return p.ConfigRevision > store.Revision(n.configRevision.Load())
 	}
 	return p.ConfigVersion > n.state.configVersion.Load()
 }
@@ -88,7 +72,7 @@
 
 // announceConfig adds the configuration to a poll for a node that has an older one.
 func (c *coordinator) announceConfig(p *fleet.Poll, n *polledNode) {
-	p.ConfigVersion, p.ConfigRevision = max(c.state.configVersion.Load(), c.reportedConfig), c.configRevision.Load()
+	p.ConfigVersion, p.ConfigRevision = max(c.state.configVersion.Load(), c.reportedConfig), store.Revision(c.configRevision.Load())
 	p.Config = c.documentFor(n)
 }
 
@@ -121,87 +105,16 @@
 			} else {
 				c.operatorReadAt = after
 			}
-			if c.state.configVersion.Load() > c.lastPoll.ConfigVersion || c.state.evacuatedRevision.Load() > c.lastPoll.EvacuatedRevision {
+			if c.state.configVersion.Load() > c.lastPoll.ConfigVersion || c.hasLaterEvacuations() {
 				c.sendReport(c.member.buildReport(after))
 			}
 		}
 	})
 }
 
-// askOperatorState asks some other nodes for the operator's objects. A small document comes with the answers, a large one is read from one
-// of the nodes that have it.
-func (c *coordinator) askOperatorState(now clock.Instant) {
-	if now < c.nextOperatorAsk {
-		return
-	}
-	c.nextOperatorAsk = now.Add(operatorAskInterval)
-	relays := c.randomRelays(operatorAskNodes)
-	c.runAsyncWithin(configReadTimeout, func(ctx context.Context) func(clock.Instant) {
-		relay, version := c.askNodes(ctx, relays)
-		if version <= c.state.configVersion.Load() {
-			return func(clock.Instant) {}
-		}
-		c.post(func(began clock.Instant) { c.nextOperatorAsk = began.Add(configReadTimeout) }) // One transfer of a large document at a time.
-		_, _ = c.askNode(ctx, configReadTimeout, store.MaxValueBytes, relay)                   // A failure is logged, and others are asked next.
-		return func(after clock.Instant) { c.nextOperatorAsk = after }
-	})
-}
-
-// askNodes asks the nodes at once, and returns the highest configuration version that one of them has, and that node.
-func (n *node) askNodes(ctx context.Context, relays []string) (relay string, version uint64) {
-	versions := make([]uint64, len(relays))
-	var group sync.WaitGroup
-	for i, relay := range relays {
-		group.Go(func() {
-			n.protect("ask", func() { versions[i], _ = n.askNode(ctx, pollTimeout, maxPolledConfigBytes, relay) }) // The others may answer.
-		})
-	}
-	group.Wait()
-	for i, v := range versions {
-		if v > version {
-			relay, version = relays[i], v
-		}
-	}
-	return relay, version
-}
-
-// askNode asks a node for the operator's objects, applies those that it answers, and returns its configuration version.
-func (n *node) askNode(ctx context.Context, timeout time.Duration, limit int, relay string) (uint64, error) {
-	query := &fleet.Report{Host: n.settings.Host, ConfigVersion: n.state.configVersion.Load(), OperatorStateLimit: limit}
-	r, err := n.sendMessageWithin(ctx, timeout, relay, methodOperatorState, query.Encode())
-	if err != nil {
-		event.OperatorReadFailed.On(n.log).Str("reason", "asked node").Str("from", relay).Err(err).Send()
-		return 0, err
-	}
-	if len(r.Config) > 0 {
-		n.applyToldConfig(r.ConfigVersion, r.Config, sourceNode)
-	}
-	n.applyToldEvacuations(r.EvacuatedZones, r.EvacuatedRevision)
-	return r.ConfigVersion, nil
-}
-
-// randomRelays returns the relay addresses of up to n other hosts whose targets were not lost, in random order.
-func (c *coordinator) randomRelays(n int) []string {
-	var relays []string
-	for host, t := range c.state.view.Load().Targets {
-		if host != c.settings.Host && t.State != fleet.Revoked {
-			relays = append(relays, t.Relay)
-		}
-	}
-	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
-	return relays[:min(n, len(relays))]
-}
-
-// operatorState answers another node's query for the operator's objects.
-func (n *node) operatorState(query *fleet.Report) *fleet.Report {
-	answer := &fleet.Report{
-		Host: n.settings.Host, ConfigVersion: n.state.configVersion.Load(),
-		EvacuatedRevision: n.state.evacuatedRevision.Load(), EvacuatedZones: slices.Sorted(maps.Keys(*n.state.listedZones.Load())),
-	}
-	if document := n.state.configDocument.Load(); document != nil && document.version > query.ConfigVersion && len(document.value) <= query.OperatorStateLimit {
-		answer.ConfigVersion, answer.Config = document.version, document.value
-	}
-	return answer
+// hasLaterEvacuations reports whether this node has read the evacuated zones later than the leader, as far as the last poll shows.
+func (c *coordinator) hasLaterEvacuations() bool {
+	return c.state.evacuatedVersion.Load() > c.toldVersion(c.lastPoll.EvacuatedEra, c.lastPoll.EvacuatedRevision)
 }
 
 // addOperatorState adds what this node knows of the operator's objects to a report for the leader.
@@ -210,8 +123,8 @@
 	if document := c.state.configDocument.Load(); c.lastPoll.OperatorUnread && document != nil && document.version > c.lastPoll.ConfigHeld && len(document.value) <= maxPolledConfigBytes {
 		r.ConfigVersion, r.Config = document.version, document.value
 	}
-	if revision := c.state.evacuatedRevision.Load(); revision > c.lastPoll.EvacuatedRevision {
-		r.EvacuatedRevision = revision
+	if c.hasLaterEvacuations() {
+		r.EvacuatedEra, r.EvacuatedRevision = c.evacuatedAt()
 		r.EvacuatedZones = slices.Sorted(maps.Keys(*c.state.listedZones.Load()))
 	}
 }
@@ -221,7 +134,7 @@
 	if !c.operatorUnread {
 		return
 	}
-	c.applyToldEvacuations(r.EvacuatedZones, r.EvacuatedRevision)
+	c.applyToldEvacuations(r.EvacuatedZones, r.EvacuatedEra, r.EvacuatedRevision)
 	known := max(c.state.configVersion.Load(), c.reportedConfig)
 	if len(r.Config) > 0 { // Hosts that the store refuses have no other way to it than the polls of this leader.
 		c.applyToldConfig(r.ConfigVersion, r.Config, sourceReport)
@@ -279,15 +192,6 @@
 	return err
 }
 
-// fetchEvacuations reads the evacuated zones without a watch.
-func (n *node) fetchEvacuations(ctx context.Context) error {
-	changes, revision, err := n.listKind(ctx, platform.EvacuationKind)
-	if err == nil {
-		n.applyEvacuations(changes, revision, true)
-	}
-	return err
-}
-
 // applyStoredConfig applies an object of the store that holds a configuration, unless it is not later than the current one.
 func (n *node) applyStoredConfig(o store.Object, source configSource) {
 	n.applyMu.Lock()
@@ -337,77 +241,3 @@
 	n.entrance.applyConfig(next)
 	n.gate.applyConfig(next)
 }
-
-// followEvacuations applies changes of the set of evacuated zones.
-func (n *node) followEvacuations(ctx context.Context) {
-	n.followKind(ctx, platform.EvacuationKind, n.applyEvacuations)
-}
-
-// applyEvacuations changes the set of evacuated zones, unless the current set is from a later revision.
-func (n *node) applyEvacuations(changes []store.Change, revision uint64, replace bool) {
-	n.applyMu.Lock()
-	defer n.applyMu.Unlock()
-	held := n.state.evacuatedRevision.Load()
-	if revision < held {
-		n.lines.logLimited(func(l *log.Logger) {
-			event.StaleObject.On(l).Str("object", platform.EvacuationKind).Uint64("revision", revision).Uint64("held", held).Send()
-		})
-		return
-	}
-	if held > 0 && store.Era(revision) > store.Era(held) {
-		n.zonesKeptUntil = n.clock.Now().Add(restoredZoneRetention)
-	}
-	listed := map[string]bool{}
-	if !replace {
-		maps.Copy(listed, *n.state.listedZones.Load())
-	}
-	deleted := map[string]bool{}
-	for _, c := range changes {
-		if c.Deleted {
-			delete(listed, c.Name)
-			deleted[c.Name] = true
-		} else {
-			listed[c.Name] = true
-		}
-	}
-	n.state.listedZones.Store(&listed)
-	n.state.evacuatedRevision.Store(revision)
-	n.updateEvacuated(deleted)
-}
-
-// updateEvacuated puts the listed zones in force. After the store came back from a copy, a zone that the list lacks stays evacuated for a while,
-// unless its entry was deleted since: the copy may be older than the entry, which the operator then writes again. The caller holds applyMu.
-func (n *node) updateEvacuated(deleted map[string]bool) {
-	now := n.clock.Now()
-	old, listed := *n.state.evacuated.Load(), *n.state.listedZones.Load()
-	zones := map[string]clock.Instant{}
-	for zone := range listed {
-		zones[zone] = now
-	}
-	for zone, since := range old {
-		if listed[zone] || now < n.zonesKeptUntil && !deleted[zone] {
-			zones[zone] = since
-		}
-	}
-	if maps.Equal(old, zones) {
-		return
-	}
-	n.state.evacuated.Store(&zones)
-	event.EvacuationsChanged.On(n.log).Any("zones", slices.Sorted(maps.Keys(zones))).Uint64("revision", n.state.evacuatedRevision.Load()).Send()
-	if _, wasEvacuated := old[n.settings.AvailabilityZone]; wasEvacuated {
-		if _, isEvacuated := zones[n.settings.AvailabilityZone]; !isEvacuated {
-			n.gate.zoneReturned()
-		}
-	}
-	go n.post(n.coordinator.tick)
-}
-
-// releaseKeptZones ends the evacuation of zones that were kept after the store came back from a copy and are still not listed.
-func (n *node) releaseKeptZones(now clock.Instant) {
-	n.applyMu.Lock()
-	defer n.applyMu.Unlock()
-	if n.zonesKeptUntil > 0 && now >= n.zonesKeptUntil {
-		n.zonesKeptUntil = 0
-		n.updateEvacuated(nil)
-	}
-}
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -201,6 +201,12 @@
 	require.Equal(t, uint64(2), n.state.configVersion.Load())
 	require.False(t, n.isAnnounced(&fleet.Poll{ConfigRevision: 9}))
 	require.True(t, n.isAnnounced(&fleet.Poll{ConfigRevision: 10}), "the node reads it from the store")
+	version, ok := store.VersionIn(3, 9)
+	require.True(t, ok)
+	n.applyEvacuations(nil, version, true)
+	n.coordinator.handlePoll(n.clock.Now(), &fleet.Poll{EvacuatedZones: []string{"z"}, EvacuatedRevision: 10})
+	_, evacuated := n.state.evacuatedSince("z")
+	require.True(t, evacuated, "the poll names no era")
 }
 
 // Guards against calls to the store that grow with nodes times changes: a start costs few calls, configurations cost none.
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -134,9 +134,10 @@
 	// evacuated holds the evacuated zones and since when this node knows that they are, listedZones those that the store lists.
 	evacuated   atomic.Pointer[map[string]clock.Instant]
 	listedZones atomic.Pointer[map[string]bool]
-	// configVersion is the operator's version of the current configuration, evacuatedRevision the revision of the evacuated zones.
-	configVersion     atomic.Uint64
-	evacuatedRevision atomic.Uint64
+	// configVersion is the operator's version of the current configuration, evacuatedVersion the store's version of
+	// the evacuated zones.
+	configVersion    atomic.Uint64
+	evacuatedVersion atomic.Uint64
 	// configDocument is the current configuration as nodes send it to each other.
 	configDocument atomic.Pointer[configDocument]
 	localTarget    atomic.Pointer[localTarget]
