--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -39,6 +39,14 @@
 	return nil
 }
 
+// follower returns a host other than that of the coordinator.
+func (r *testFleet) follower() *testHost {
+	if r.hosts[0].isLeader() {
+		return r.hosts[1]
+	}
+	return r.hosts[0]
+}
+
 // requireConfig checks that all hosts but one serve a path that only the new configuration has, within the platform's bound.
 func (r *testFleet) requireConfig(path string, except *testHost) {
 	r.t.Helper()
@@ -81,10 +89,7 @@
 	})
 	t.Run("the coordinator is lost and the store refuses a node", func(t *testing.T) {
 		r := newTestFleet(t, 3)
-		leader, refused := r.leader(), r.hosts[0]
-		if refused == leader {
-			refused = r.hosts[1]
-		}
+		leader, refused := r.leader(), r.follower()
 		leader.node.settings.Store.Address = "127.0.0.1:1" // It must not come back as the coordinator.
 		leader.cancel()
 		refused.storeProxy.ChangeFaults(func(d *standin.Faults) { d.Down = true })
@@ -93,10 +98,7 @@
 	})
 	t.Run("connections of a node to the coordinator and to the store go silent", func(t *testing.T) {
 		r := newTestFleet(t, 3)
-		leader, silent := r.leader(), r.hosts[0]
-		if silent == leader {
-			silent = r.hosts[1]
-		}
+		leader, silent := r.leader(), r.follower()
 		silent.storeProxy.ChangeFaults(func(d *standin.Faults) { d.Silent = 1 })
 		leader.node.post(func(clock.Instant) {
 			leader.node.coordinator.polledNodes[silent.node.settings.Host].pollPending = true // The poll is never answered.
@@ -106,10 +108,7 @@
 	})
 	t.Run("the store refuses a node and the polls can't carry the document", func(t *testing.T) {
 		r := newTestFleet(t, 3)
-		refused := r.hosts[0]
-		if refused.isLeader() {
-			refused = r.hosts[1]
-		}
+		refused := r.follower()
 		refused.storeProxy.ChangeFaults(func(d *standin.Faults) { d.Down = true })
 		large := `{"note":"` + strings.Repeat("x", 4*maxPolledConfigBytes) + `",`
 		r.store.Configure(strings.Replace(standin.Configuration(2, "q"), "{", large, 1))
@@ -183,10 +182,7 @@
 	r.store.Configure(standin.Configuration(2, "q"))
 	r.requireConfig("/q/x", nil)
 	r.store.Restore(copied)
-	started := r.hosts[0]
-	if started.isLeader() {
-		started = r.hosts[1]
-	}
+	started := r.follower()
 	r.restart(started)
 	require.Eventually(t, func() bool {
 		status, _ := started.get("/q/x", "config", 1)
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -54,7 +54,8 @@
 	// restoredZoneRetention is how long a zone stays evacuated that the store no longer lists after it came back from a copy. The operator
 	// writes lost entries again in that time.
 	restoredZoneRetention = 10 * time.Second
-	// operatorAskInterval is the time after which a node that is not polled and can't read the operator's objects asks other nodes again.
+	// operatorAskInterval is the time between two rounds of questions to other nodes, while a node has to read the operator's objects
+	// itself and has not succeeded.
 	operatorAskInterval = 400 * time.Millisecond
 	// operatorAskNodes is the number of nodes that it asks at once. If the store refuses a third of the hosts, all 3 are among these in one
 	// of 27 rounds.
