Pace the lists of a kind from which no watch can start

Found while reading the change: where a store's era goes back for good, or a store answers 410 to every watch, the coordinator lists the kind, can't watch from the list and lists it again at once, some hundred calls a second.

A watch whose history is dropped later lists at once, as before.

--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -20,6 +20,7 @@
 		return
 	}
 	var since uint64
+	var listedAt time.Time
 	listed := false
 	pause := storeRetryDelay
 	for ctx.Err() == nil {
@@ -36,9 +37,13 @@
 			if !listed || len(changes) > 0 {
 				apply(changes, revision, !listed)
 			}
+			if !listed {
+				listedAt = time.Now()
+			}
 			listed, since, pause = true, max(since, revision), storeRetryDelay
 		case errs.Is(err, errs.Compacted):
 			listed = false
+			sleep(ctx, storeRetryDelay-time.Since(listedAt)) // A list from which no watch can start must not be repeated at once.
 		default:
 			// The failed watch may have missed changes. A list brings the state up to date with one call.
 			listed = false
