--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/netip"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -75,3 +77,14 @@
 		require.Equal(t, c.stalled, conn.measure(11*second, c.late, 1<<10, 10*time.Second), name)
 	}
 }
+
+// Guards against callers' connections without a bound where the settings name no descriptor limit, as those of deploy/node.yaml don't.
+func TestDescriptorLimitOfTheSystemIsTheDefault(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/node.yaml")
+	require.NoError(t, err)
+	require.NotContains(t, string(template), "max_fds")
+	var r syscall.Rlimit
+	require.NoError(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r))
+	require.EqualValues(t, r.Cur, descriptorLimit(0))
+	require.Equal(t, 300, descriptorLimit(300), "a lower limit in the settings holds")
+}
