Order what the fleet writes by the store's era, and take over with what nodes know

Cause: objects were ordered by the store's revisions, and conditional writes named them. Both go back with the copy. Nodes went on with newer tables in memory that the store lacked; a leader that started took the copy for the newest state and counted fencing tokens, terms and rounds on from there.

Ruled out: a late write of the era before; the drill alone and the kill alone break nothing.

Numbers of an era begin above all earlier ones. The leader goes on by creating its record in the new era, and changes no table before it knows all later ones or the leases of earlier leaders have expired. Nodes write their records again. A term of an earlier era ends when it lapses.

--- a/internal/event/sidecar.go
+++ b/internal/event/sidecar.go
@@ -60,6 +60,7 @@
 	CrashSuspected       = register(Event{6052, log.WarnLevel, "target exited while it was running a request", "Search the log for the fingerprint."})
 	QuarantineBegan      = register(Event{6053, log.ErrorLevel, "request is quarantined because it crashes targets", "Find its caller and correct the target."})
 	StoreRestored        = register(Event{6058, log.WarnLevel, "the store came back from a copy; what it acknowledged since the copy is lost there", "Write the configuration and the evacuations again if they are older in the store than before."})
+	TakeoverCompleted    = register(Event{6060, log.InfoLevel, "the leader knows all tables of earlier eras of the store, and writes and changes tables", ""})
 	EraInvalid           = register(Event{6059, log.WarnLevel, "a response of the store states an era that is invalid or lower than before; logged once", "Check which program answers at the address of the store. If its era has gone back for good, restart the nodes."})
 	StaleObject          = register(Event{6057, log.WarnLevel, "an object of the store is older than the one in use and is ignored", "If it persists, check whether the store was restored from a copy."})
 	DepartureUnconfirmed = register(Event{6056, log.InfoLevel, "another node did not confirm that it remembers a departure; others are asked", ""})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -145,6 +145,21 @@
 	return keyspace.Row{}, false
 }
 
+// NewerThan returns the objects of the view of which the node with the versions has an older one, or none.
+func (v *View) NewerThan(held *HeldVersions) *View {
+	return &View{Targets: later(v.Targets, held.Targets), Tables: later(v.Tables, held.Tables)}
+}
+
+func later[T versioned](objects map[string]T, held map[string]uint64) map[string]T {
+	newer := map[string]T{}
+	for name, o := range objects {
+		if held[name] < o.version() {
+			newer[name] = o
+		}
+	}
+	return newer
+}
+
 // LatestVersion returns the highest version of any object in the view. A view with a higher latest version is newer.
 func (v *View) LatestVersion() uint64 {
 	latest := uint64(0)
@@ -164,7 +179,8 @@
 }
 
 // Merge returns the newest version of each object of both views. An object that only one view has counts as deleted
-// if its version is not higher than the revision of the other view.
+// if its version is of the same era as the revision of the other view and not higher. One of an earlier era was not deleted: the store came back
+// from a copy, and nobody has written the object since.
 func (v *View) Merge(other *View) *View {
 	return &View{
 		Revision: max(v.Revision, other.Revision),
@@ -197,12 +213,12 @@
 }
 
 // newest returns the objects that are not outdated by the others: no newer version is among the others, and an object
-// missing there is newer than their revision, so it was not deleted.
+// missing there is newer than their revision or of an earlier era, so it was not deleted.
 func newest[T versioned](objects, others map[string]T, othersRevision uint64) map[string]T {
 	kept := map[string]T{}
 	for name, o := range objects {
 		other, known := others[name]
-		if known && o.version() >= other.version() || !known && o.version() > othersRevision {
+		if known && o.version() >= other.version() || !known && (o.version() > othersRevision || store.Era(o.version()) < store.Era(othersRevision)) {
 			kept[name] = o
 		}
 	}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -21,6 +21,10 @@
 	ProcessID          uint64 `json:"process,omitempty"`
 	LastReportSentAt   int64  `json:"reported,omitempty"`
 	CoordinatorLeaseMs int64  `json:"authority_ms,omitempty"`
+	// StoreEra is the era of the store as the coordinator knows it.
+	StoreEra uint64 `json:"store_era,omitempty"`
+	// Held lists the versions in the view of the coordinator. It is set if the node has told that it has newer objects; the answer carries them.
+	Held *HeldVersions `json:"held,omitempty"`
 	// ConfigVersion is the operator's version of the configuration that the coordinator knows. The revisions of the store don't serve for
 	// that: they go back when the store comes back from a copy.
 	ConfigVersion uint64 `json:"config_version,omitempty"`
@@ -66,6 +70,10 @@
 	ViewEpoch    uint64 `json:"view_round,omitempty"`
 	// Held lists the versions in the view of the node, if ViewSequence does not tell the receiver which objects the node lacks.
 	Held *HeldVersions `json:"held,omitempty"`
+	// View has the objects that are newer in the view of the node than those that the poll lists in Held.
+	View *View `json:"view,omitempty"`
+	// PreviousEpoch is the epoch of the coordinator before the current one, as far as the node knows.
+	PreviousEpoch uint64 `json:"previous_round,omitempty"`
 	// ConfigVersion is the operator's version of the configuration of the node, 0 if it has none.
 	ConfigVersion uint64 `json:"config_version,omitempty"`
 	// Config is the configuration of that version, if the receiver can't read it. In an answer to a poll it is a small one.
@@ -164,19 +172,28 @@
 	if err := json.Unmarshal(data, p); err != nil {
 		return nil, errs.Wrap(err, errs.Invalid, "Check that all nodes run compatible versions.", "fleet: the poll can't be decoded")
 	}
-	if p.View != nil {
-		for _, t := range p.View.Tables {
-			if err := t.Validate(); err != nil {
-				return nil, err
-			}
+	return p, p.View.validate()
+}
+
+// validate checks the tables of a received view, which may be nil.
+func (v *View) validate() error {
+	if v == nil {
+		return nil
+	}
+	for _, t := range v.Tables {
+		if err := t.Validate(); err != nil {
+			return err
 		}
 	}
-	return p, nil
+	return nil
 }
 
 // DecodeReport decodes a report.
 func DecodeReport(data []byte) (*Report, error) {
 	r := &Report{}
 	err := json.Unmarshal(data, r)
+	if err == nil {
+		err = r.View.validate()
+	}
 	return r, errs.Wrap(err, errs.Invalid, "Check that all nodes run compatible versions.", "fleet: the report can't be decoded")
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -69,6 +69,11 @@
 	Evacuated map[string]bool
 	// Keyed is the set of services whose keys have owners.
 	Keyed map[string]bool
+	// Frozen is the set of keyed services whose tables must not change now. Terms of their owners may be revoked.
+	Frozen map[string]bool
+	// FenceFloor is below all fencing tokens that may be issued now. Those of an era of the store begin above all earlier ones, because a copy
+	// of the store may lack the highest ones.
+	FenceFloor uint64
 	// CoordinatorSince is when this node became the coordinator.
 	CoordinatorSince clock.Instant
 	// ConfirmingSince is the start of the uninterrupted period in which the coordinator has been able
@@ -138,6 +143,9 @@
 	for service := range in.Keyed {
 		s := newPlanner(in, o, service)
 		p.Revoke = append(p.Revoke, s.hostsToRevoke()...)
+		if in.Frozen[service] {
+			continue
+		}
 		if c := s.plan(); c != nil {
 			p.Tables[service] = c
 		}
@@ -181,6 +189,7 @@
 		p.oldTable = &t.Table
 	}
 	p.table = p.oldTable.Clone()
+	p.table.Fence = max(p.table.Fence, in.FenceFloor)
 	for _, host := range sortedHosts(in.View) {
 		t := in.View.Targets[host]
 		if t.Service != name || !p.eligible(t) {
--- a/internal/sidecar/assign.go
+++ b/internal/sidecar/assign.go
@@ -20,12 +20,12 @@
 // plan computes the placement and writes the revocations and table changes that it calls for.
 func (c *coordinator) plan(now clock.Instant) {
 	v, config := c.state.view.Load(), c.state.config.Load()
-	if config == nil {
+	if config == nil || !c.leadsEra() {
 		return
 	}
 	in := &placement.Input{
-		Now: now, View: v, Nodes: map[string]*placement.Node{}, Evacuated: map[string]bool{},
-		Keyed: map[string]bool{}, CoordinatorSince: c.leaderSince, ConfirmingSince: c.renewsSince(now), LastRebalanced: c.rebalancedAt, DemandEstimates: c.expectedDemand,
+		Now: now, View: v, Nodes: map[string]*placement.Node{}, Evacuated: map[string]bool{}, FenceFloor: store.FirstVersion(c.storeEra),
+		Keyed: map[string]bool{}, Frozen: map[string]bool{}, CoordinatorSince: c.leaderSince, ConfirmingSince: c.renewsSince(now), LastRebalanced: c.rebalancedAt, DemandEstimates: c.expectedDemand,
 	}
 	for host, n := range c.polledNodes {
 		in.Nodes[host] = &n.Node
@@ -35,7 +35,7 @@
 	}
 	for name, s := range config.Services {
 		if s.Keyed && c.mayWrite(now, fleet.TableName(name)) && c.tableWriteDue(now, name, len(v.Targets)) {
-			in.Keyed[name] = true
+			in.Keyed[name], in.Frozen[name] = true, !c.mayAssign(now, name)
 		}
 	}
 	c.recordRevocations(now, v)
@@ -60,7 +60,7 @@
 	}
 	for _, t := range v.Targets {
 		switch {
-		case t.State == fleet.Revoked:
+		case t.State == fleet.Revoked && !c.member.isOutdated(t):
 			record(t.Owner())
 		case !c.revokeAttempted[t.Owner()]:
 			delete(c.revokedSince, t.Owner()) // Its record was missing or unreadable for a while.
@@ -181,9 +181,9 @@
 // too, the watch delivers it.
 func (c *coordinator) put(now clock.Instant, name string, value []byte, version uint64, done func(clock.Instant, uint64)) {
 	c.pendingWrites[name] = true
-	round := c.round
+	round, condition := c.round, c.condition(version)
 	c.runAsync(func(ctx context.Context) func(clock.Instant) {
-		written, err := c.store.Put(ctx, fleet.Kind, name, value, version)
+		written, err := c.store.Put(ctx, fleet.Kind, name, value, condition)
 		var current store.Object
 		if err != nil {
 			event.StoreWriteFailed.On(c.log).Str("object", name).Err(err).Send()
@@ -213,10 +213,13 @@
 
 // deleteLostRecords deletes the records of hosts that no longer respond and own no ranges.
 func (c *coordinator) deleteLostRecords(now clock.Instant) {
+	if !c.leadsEra() {
+		return
+	}
 	v := c.state.view.Load()
 	for host, t := range v.Targets {
 		n, name := c.polledNodes[host], fleet.TargetName(host)
-		if n == nil || now.Sub(n.LastSeen) < lostRecordRetention || t.State == fleet.Serving || c.pendingWrites[name] || ownsRanges(v, host) {
+		if n == nil || now.Sub(n.LastSeen) < lostRecordRetention || t.State == fleet.Serving || c.member.isOutdated(t) || c.pendingWrites[name] || ownsRanges(v, host) {
 			continue
 		}
 		c.pendingWrites[name] = true
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -31,6 +31,10 @@
 	needsFullView bool
 	// viewSequence is that of the last poll that this node applied, from the leader of round viewRound.
 	viewSequence, viewRound uint64
+	// previousRound is the round of the leader before the one whose poll this node applied last.
+	previousRound uint64
+	// lastRound is the round of this node's latest leadership.
+	lastRound uint64
 	// configFetchedAt is when this node last read an announced configuration.
 	configFetchedAt clock.Instant
 	// nextOperatorFetch is when this node may next read the operator's objects without an announcement.
@@ -40,6 +44,10 @@
 	lag                             configLag
 
 	isLeader bool
+	// claimedRound is the round under which this leader has last tried to go on after the store came back from a copy.
+	claimedRound uint64
+	// takeover tells whether ranges may be assigned that no table of the store's current era assigns.
+	takeover takeover
 	// leadershipVersion is the store version of the leadership record that names this node.
 	leadershipVersion uint64
 	campaigning       bool // an attempt to acquire leadership is in progress
@@ -101,12 +109,18 @@
 	viewSequence uint64
 	// held is what the last answer said of the node's view, nil if viewSequence tells it.
 	held *fleet.HeldVersions
+	// firstHeld and previousRound are what the first answer to this leader said of the node's view and of the leader before.
+	firstHeld     *fleet.HeldVersions
+	previousRound uint64
 	// operatorStamp is the stamp of the operator's objects that the last poll carried.
 	operatorStamp uint64
 }
 
 // recordAnswer records how much of the view a node has that answers a poll of this leader's round.
 func (n *polledNode) recordAnswer(round uint64, r *fleet.Report) {
+	if !n.answered {
+		n.firstHeld, n.previousRound = r.Held, r.PreviousEpoch
+	}
 	n.answered, n.held, n.viewSequence = true, r.Held, 0
 	if r.ViewEpoch == round {
 		n.viewSequence = r.ViewSequence
@@ -114,7 +128,8 @@
 }
 
 func newCoordinator(n *node) *coordinator {
-	c := &coordinator{node: n, startedAt: n.clock.Now(), tableWrittenAt: map[string]clock.Instant{}, writeRetryAt: map[string]clock.Instant{}}
+	c := &coordinator{node: n, startedAt: n.clock.Now(), revokedSince: map[keyspace.Owner]clock.Instant{}, revokeAttempted: map[keyspace.Owner]bool{},
+		tableWrittenAt: map[string]clock.Instant{}, writeRetryAt: map[string]clock.Instant{}}
 	c.lastPolled = c.startedAt.Add(-electionTimeout)
 	c.jitter = c.newElectionJitter()
 	return c
@@ -129,8 +144,12 @@
 	if c.isLeader && p.Epoch > c.round {
 		c.resign("received a poll from a later coordinator")
 	}
+	c.member.followEra(now, p.StoreEra)
+	if p.Epoch > c.lastPoll.Epoch {
+		c.previousRound = max(c.lastPoll.Epoch, c.lastRound)
+	}
 	c.lastPolled, c.lastPoll = now, *p
-	c.lastPoll.View, c.lastPoll.Config = nil, nil
+	c.lastPoll.View, c.lastPoll.Config, c.lastPoll.Held = nil, nil, nil
 	if p.View != nil {
 		c.mergeView(now, p.View)
 	}
@@ -150,7 +169,11 @@
 		owner := keyspace.Owner{Host: c.settings.Host, Term: p.Term}
 		c.member.holder.ConfirmByCoordinator(owner, clock.Instant(p.LastReportSentAt), time.Duration(p.CoordinatorLeaseMs)*time.Millisecond)
 	}
-	return c.member.buildReport(now)
+	r := c.member.buildReport(now)
+	if p.Held != nil {
+		r.View = c.state.view.Load().NewerThan(p.Held)
+	}
+	return r
 }
 
 // learnDepartures remembers departures that another node knows, and takes over that of the host's own target. The leader polls the hosts
@@ -184,7 +207,7 @@
 	c.runAsync(func(ctx context.Context) func(clock.Instant) {
 		_, err := c.store.Get(ctx, fleet.CoordinatorKind, fleet.CoordinatorName)
 		return func(after clock.Instant) {
-			if err == nil {
+			if err == nil || errs.Is(err, errs.NotFound) {
 				c.sendReport(c.member.buildReport(after))
 			}
 		}
@@ -240,6 +263,7 @@
 	c.quarantined = c.crashes.quarantineList()
 	c.saveQuarantine()
 	c.pollAll(now)
+	c.restoreObjects(now)
 	c.plan(now)
 	c.deleteLostRecords(now)
 }
@@ -364,7 +388,7 @@
 // newPoll returns the next poll for a node, with the view changes that it has not seen and the renewal of its lease.
 func (c *coordinator) newPoll(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View) *fleet.Poll {
 	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Epoch: c.round,
-		Departures: c.departures.list()}
+		StoreEra: c.storeEra, Departures: c.departures.list()}
 	p.EvacuatedEra, p.EvacuatedRevision = c.evacuatedAt()
 	c.announceConfig(p, n)
 	if n.Report != nil && n.Report.QuarantineVersion != c.quarantined.Version {
@@ -374,6 +398,9 @@
 	for zone := range *c.state.listedZones.Load() {
 		p.EvacuatedZones = append(p.EvacuatedZones, zone)
 	}
+	if c.lacksObjectsOf(n) {
+		p.Held = v.HeldVersions()
+	}
 	if n.answered {
 		p.ViewSequence = c.history.Sequence()
 		p.EncodedView = c.viewUpdate(v, n)
@@ -431,6 +458,9 @@
 			}
 			first := !n.answered
 			n.recordAnswer(round, r)
+			if r.View != nil {
+				c.adoptObjects(after, r.View)
+			}
 			c.handleReport(after, r, len(r.Released) > 0)
 			if first {
 				c.pollAgain(after, t.Host)
@@ -443,7 +473,7 @@
 func (c *coordinator) pollAgain(now clock.Instant, host string) {
 	v, n := c.state.view.Load(), c.polledNodes[host]
 	t := v.Targets[host]
-	if !c.isLeader || n == nil || t == nil || n.pollPending || n.viewSequence >= c.history.Sequence() && c.documentFor(n) == nil {
+	if !c.isLeader || n == nil || t == nil || n.pollPending || n.viewSequence >= c.history.Sequence() && c.documentFor(n) == nil && !c.lacksObjectsOf(n) {
 		return
 	}
 	c.sendPoll(now, n, t, c.newPoll(now, n, t, v))
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -239,13 +239,13 @@
 // saveQuarantine writes the quarantines to the store unless it has them. Nodes that start read them there.
 func (c *coordinator) saveQuarantine() {
 	list := c.quarantined
-	if !c.isLeader || list.Version == c.savedQuarantine || c.pendingWrites[fleet.QuarantineName] || c.clock.Now() < c.saveQuarantineAt {
+	if !c.isLeader || !c.leadsEra() || list.Version == c.savedQuarantine || c.pendingWrites[fleet.QuarantineName] || c.clock.Now() < c.saveQuarantineAt {
 		return
 	}
 	c.pendingWrites[fleet.QuarantineName] = true
-	version, round := c.quarantineObject, c.round
+	condition, round := c.condition(c.quarantineObject), c.round
 	c.runAsync(func(ctx context.Context) func(clock.Instant) {
-		written, err := c.store.Put(ctx, fleet.Kind, fleet.QuarantineName, list.Encode(), version)
+		written, err := c.store.Put(ctx, fleet.Kind, fleet.QuarantineName, list.Encode(), condition)
 		var current store.Object
 		if err != nil {
 			event.StoreWriteFailed.On(c.log).Str("object", fleet.QuarantineName).Err(err).Send()
--- a/internal/sidecar/lead.go
+++ b/internal/sidecar/lead.go
@@ -11,6 +11,7 @@
 	"github.com/citronvane/citronvane/internal/event"
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/keyspace"
+	"github.com/citronvane/citronvane/internal/store"
 )
 
 // newElectionJitter returns the random delay that this node adds to electionTimeout. It is longer on hosts with slow links, on
@@ -26,17 +27,28 @@
 	return time.Duration(factor * float64(electionJitter))
 }
 
-// confirmLeadership reads the leadership record, and extends the leadership lease or resigns.
-func (c *coordinator) confirmLeadership(ctx context.Context) {
+// confirmLeadership reads the leadership record, and extends the leadership lease or resigns. The call ends with the context, the result counts
+// until the leadership ends.
+func (c *coordinator) confirmLeadership(ctx, leadership context.Context) {
 	sent := c.clock.Now()
 	o, err := c.store.Get(ctx, fleet.CoordinatorKind, fleet.CoordinatorName)
+	if errs.Is(err, errs.NotFound) {
+		c.post(func(now clock.Instant) {
+			if c.isLeader && leadership.Err() == nil && store.Era(c.leadershipVersion) < c.store.Era() {
+				c.claimLeadership(now)
+			}
+		})
+		return
+	}
 	if err != nil {
 		return // The leadership lease expires unless a later check succeeds.
 	}
 	lead, err := fleet.DecodeCoordinatorRecord(o.Value)
-	c.post(func(clock.Instant) {
+	c.post(func(now clock.Instant) {
 		switch {
-		case ctx.Err() != nil || !c.isLeader:
+		case leadership.Err() != nil || !c.isLeader:
+		case err == nil && lead.Host == c.settings.Host && lead.Epoch == c.claimedRound && lead.Epoch != c.round:
+			c.continueLeading(now, sent, lead.Epoch, o.Version) // The answer to the write was lost.
 		case err != nil || lead.Host != c.settings.Host || lead.Epoch != c.round:
 			c.resign("the store names another coordinator")
 		default:
@@ -63,9 +75,9 @@
 func (c *coordinator) campaign(now clock.Instant) {
 	c.campaigning = true
 	c.jitter = c.newElectionJitter()
-	ownReport := c.member.buildReport(now)
+	ownReport, known := c.member.buildReport(now), c.lastPoll
 	c.runAsync(func(ctx context.Context) func(clock.Instant) {
-		lead, version, previousEnded, err := c.acquireLeadership(ctx, ownReport)
+		lead, version, previousEnded, err := c.acquireLeadership(ctx, ownReport, known)
 		var v *fleet.View
 		if err == nil {
 			v, err = c.listView(ctx)
@@ -85,6 +97,8 @@
 				c.previousLeaseEnd = after
 			}
 			c.leadershipConfirmed, c.leadershipVersion = now, version
+			c.revokedSince, c.revokeAttempted = map[keyspace.Owner]clock.Instant{}, map[keyspace.Owner]bool{}
+			c.takeover = takeover{since: after}
 			c.startLeading(after, lead.Epoch, v)
 		}
 	})
@@ -108,9 +122,9 @@
 	return r.CoordinatorEpoch >= previous.Epoch
 }
 
-// acquireLeadership writes this node as the leader to the store, unless the recorded leader responds. previousEnded reports that
-// no leadership lease of an earlier leader can still be valid.
-func (c *coordinator) acquireLeadership(ctx context.Context, ownReport *fleet.Report) (lead fleet.CoordinatorRecord, version uint64, previousEnded bool, err error) {
+// acquireLeadership writes this node as the leader to the store, unless the recorded leader responds. known is the last poll of the leader that
+// this node knows. previousEnded reports that no leadership lease of an earlier leader can still be valid.
+func (c *coordinator) acquireLeadership(ctx context.Context, ownReport *fleet.Report, known fleet.Poll) (lead fleet.CoordinatorRecord, version uint64, previousEnded bool, err error) {
 	var previous fleet.CoordinatorRecord
 	o, err := c.store.Get(ctx, fleet.CoordinatorKind, fleet.CoordinatorName)
 	if err == nil {
@@ -120,12 +134,16 @@
 	} else if !errs.Is(err, errs.NotFound) {
 		return lead, 0, false, err
 	}
+	if o.Version == 0 { // The store may have lost the record of a leader that still leads.
+		previous = fleet.CoordinatorRecord{Host: known.Coordinator, Relay: known.Relay, Epoch: known.Epoch}
+	}
 	if c.coordinatorResponds(ctx, previous, ownReport) {
 		return lead, 0, false, errCoordinatorAlive
 	}
-	lead = fleet.CoordinatorRecord{Host: c.settings.Host, Relay: c.settings.Relay(), Epoch: max(previous.Epoch, o.Version) + 1}
-	version, err = c.store.Put(ctx, fleet.CoordinatorKind, fleet.CoordinatorName, lead.Encode(), o.Version)
-	return lead, version, o.Version == 0 || previous.Resigned, err
+	first := store.FirstVersion(c.store.Era())
+	lead = fleet.CoordinatorRecord{Host: c.settings.Host, Relay: c.settings.Relay(), Epoch: max(previous.Epoch, o.Version, first) + 1}
+	version, err = c.store.Put(ctx, fleet.CoordinatorKind, fleet.CoordinatorName, lead.Encode(), max(o.Version, first))
+	return lead, version, max(o.Version, first) == 0 || previous.Resigned, err
 }
 
 // releaseLeadership resigns before the node stops, and records this, so that the next leader need not wait for the lease to expire.
@@ -149,14 +167,12 @@
 // startLeading makes this node the leader.
 func (c *coordinator) startLeading(now clock.Instant, round uint64, v *fleet.View) {
 	ctx, cancel := context.WithCancel(c.ctx)
-	c.isLeader, c.round, c.cancelLeadership, c.leaderSince, c.renewingSince, c.outage = true, round, cancel, now, now, storeOutage{lastAnswer: now}
+	c.isLeader, c.round, c.lastRound, c.cancelLeadership, c.leaderSince, c.renewingSince, c.outage = true, round, round, cancel, now, now, storeOutage{lastAnswer: now}
 	c.history = fleet.NewHistory()
 	c.polledNodes = map[string]*polledNode{}
-	c.revokedSince = map[keyspace.Owner]clock.Instant{}
 	c.rebalancedAt = map[string]clock.Instant{}
 	c.tableWrittenAt, c.planScheduled = map[string]clock.Instant{}, false
 	c.pendingWrites, c.writeRetryAt = map[string]bool{}, map[string]clock.Instant{}
-	c.revokeAttempted = map[keyspace.Owner]bool{}
 	c.expectedDemand = nil
 	c.quarantined, c.savedQuarantine = c.crashes.quarantineList(), 0
 	c.operatorUnread, c.reportedConfig = false, 0
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/citronvane/citronvane/internal/clock"
@@ -29,6 +30,8 @@
 	// firstHeartbeatWait is how long a starting node without a record waits for its target's first heartbeat, which spares one of two
 	// writes. Only nodes with a record are polled.
 	firstHeartbeatWait = 400 * time.Millisecond
+	// rewriteSpacing is the average time between the writes of two nodes that write their records again after the store came back from a copy.
+	rewriteSpacing = 5 * time.Millisecond
 	// drainMargin is how long before the platform's deadline a leaving target gets its last request.
 	drainMargin = 300 * time.Millisecond
 	// replyTimeout bounds how long a heartbeat waits for the control goroutine. The target times out after 1 s.
@@ -44,6 +47,10 @@
 	record       *fleet.Target
 	recordLoaded bool
 	startedAt    clock.Instant
+	// rewriteAt is when a record of an earlier era of the store is written again.
+	rewriteAt clock.Instant
+	// termFloor is the version of a list that lacked the host's record. Terms of deleted records are not above it.
+	termFloor uint64
 	// recordBusy is set while a read or write of the record is in flight.
 	recordBusy     bool
 	retryAt        clock.Instant
@@ -146,6 +153,9 @@
 		core.SetColdUntil(now, now.Add(b.ColdRemaining))
 	})
 	m.reconcile(now)
+	if m.holdsUnknownRanges(b) {
+		return tenure.Grant{}
+	}
 	grant := m.holder.Grant(now, m.ownRows())
 	if grant.OmittedRows > 0 {
 		event.GrantTruncated.On(m.log).Str("instance", b.Instance).Int("rows", len(grant.Rows)).Int("left", grant.OmittedRows).Send()
@@ -155,6 +165,12 @@
 	return grant
 }
 
+// holdsUnknownRanges reports whether the target holds ranges of a table that this process doesn't know. A grant without them would make the target
+// release them; without a grant they expire.
+func (m *member) holdsUnknownRanges(b *tenure.Heartbeat) bool {
+	return len(b.HeldRanges) > 0 && m.state.view.Load().Tables[m.settings.Service] == nil && !m.isDeparting(b)
+}
+
 // ownRows returns the rows of the assignment table that this host owns.
 func (m *member) ownRows() []keyspace.Row {
 	table := m.state.view.Load().Tables[m.settings.Service]
@@ -214,7 +230,7 @@
 		return
 	}
 	// Before the table is loaded, the grant would be empty and make the target release all of its ranges.
-	if r := m.record; r != nil && r.State == fleet.Serving && m.holder.Owner() != r.Owner() && m.state.viewLoaded.Load() {
+	if r := m.record; r != nil && r.State == fleet.Serving && m.holder.Owner() != r.Owner() && m.state.viewLoaded.Load() && !m.isOutdated(r) {
 		m.beginTerm(now, m.leaseCheckedAt)
 	}
 }
@@ -266,27 +282,53 @@
 // chooseTerm sets the term of the record to write. It reports false if the current record is right, or can't be replaced yet.
 func (m *member) chooseTerm(now clock.Instant, want *fleet.Target) bool {
 	r := m.record
+	outdated := r != nil && m.isOutdated(r)
 	switch {
 	case r == nil:
-		want.Term = m.holder.Owner().Term + 1
+		want.Term = m.termAfter(max(m.holder.Owner().Term, m.termFloor))
+		return m.storeEra == 0 || m.holder.GrantsEnded(now) // The store may have lost the record under which an earlier process granted ranges.
 	case r.StartTimeMs != want.StartTimeMs || r.Instance != want.Instance || r.Service != want.Service:
 		// Only one process at a time can bind the host's addresses, so the earlier process has exited.
-		want.Term = r.Term + 1
-	case want.State == fleet.Serving && (r.State != fleet.Serving || m.holder.Owner() == r.Owner() && !m.holder.Valid()):
+		want.Term = m.termAfter(r.Term)
+	case want.State == fleet.Serving && (r.State != fleet.Serving || m.holder.Owner() == r.Owner() && !m.holder.Valid() || outdated && !m.continues(now, r)):
 		// The term has ended. The next one starts when all of its grants have expired.
-		want.Term = r.Term + 1
+		want.Term = m.termAfter(r.Term)
 		return m.holder.GrantsEnded(now)
 	default:
 		want.Term = r.Term
 		if r.State == fleet.Revoked && want.State != fleet.Down {
 			want.State = fleet.Revoked // The target's departure changes nothing about the end of the term.
-			return want.Departing && !r.Departing
+			return want.Departing && !r.Departing || outdated && now >= m.rewriteAt
 		}
-		return r.State != want.State || r.Relay != want.Relay || r.Slots != want.Slots || r.Departing != want.Departing
+		return outdated && now >= m.rewriteAt || r.State != want.State || r.Relay != want.Relay || r.Slots != want.Slots || r.Departing != want.Departing
 	}
 	return true
 }
 
+// termAfter returns the number of a term that no process has used on this host before, given the last one that is known. Numbers of an era
+// of the store begin above those of earlier ones, of which a copy of the store may lack the last.
+func (m *member) termAfter(last uint64) uint64 { return max(last, store.FirstVersion(m.storeEra)) + 1 }
+
+// isOutdated reports whether the record is of an earlier era of the store, so that the store may lack it and what was written after it.
+func (m *member) isOutdated(r *fleet.Target) bool { return store.Era(r.Version) < m.storeEra }
+
+// continues reports whether this process has held the lease of the record's term without a break. A record of an earlier era proves nothing more:
+// the store may have lost its revocation.
+func (m *member) continues(now clock.Instant, r *fleet.Target) bool {
+	return m.holder.Owner() == r.Owner() && m.holder.Remaining(now) > 0
+}
+
+// followEra applies that the store came back from a copy. The host's record is written again, and a term that lapses ends for good.
+func (m *member) followEra(now clock.Instant, era uint64) {
+	if era <= m.storeEra {
+		return
+	}
+	m.storeEra = era
+	m.holder.RequireUnbroken(now)
+	m.rewriteAt = now.Add(time.Duration(rand.Int64N(int64(rewriteSpacing) * int64(1+len(m.state.view.Load().Targets)))))
+	m.recordLoaded = m.recordLoaded && m.record != nil // The absence of a record is to be read again.
+}
+
 // departureFollows reports whether the departure can be that of the incarnation in the record or of a later one. A call without a start
 // time that names another instance may be a late one of an earlier incarnation.
 func (m *member) departureFollows(r *fleet.Target) bool {
@@ -312,13 +354,26 @@
 	m.recordBusy = true
 	m.runAsync(func(ctx context.Context) func(clock.Instant) {
 		o, err := m.store.Get(ctx, fleet.Kind, fleet.TargetName(m.settings.Host))
-		return func(after clock.Instant) { m.handleRead(after, now, o, err) }
+		var listed uint64
+		if errs.Is(err, errs.NotFound) {
+			var listErr error
+			if _, listed, listErr = m.store.List(ctx, fleet.Kind); listErr != nil {
+				err = listErr
+			}
+		}
+		return func(after clock.Instant) {
+			m.termFloor = max(m.termFloor, listed)
+			m.handleRead(after, now, o, err)
+		}
 	})
 }
 
 func (m *member) handleRead(now, sent clock.Instant, o store.Object, err error) {
 	m.recordBusy = false
+	m.followEra(now, m.store.Era())
 	switch {
+	case errs.Is(err, errs.NotFound) && m.record != nil && m.isOutdated(m.record):
+		m.recordLoaded = true // It is written again.
 	case errs.Is(err, errs.NotFound):
 		if m.record != nil {
 			m.markRevoked("the record was deleted")
@@ -349,7 +404,7 @@
 	if m.recordLoaded || m.recordBusy {
 		return
 	}
-	m.recordLoaded, m.leaseCheckedAt = true, sent
+	m.recordLoaded, m.leaseCheckedAt, m.termFloor = true, sent, max(m.termFloor, v.Revision)
 	m.markRecordKnown(m.clock.Now())
 	if own := v.Targets[m.settings.Host]; own != nil {
 		m.observeRecord(own, sent)
@@ -395,14 +450,16 @@
 	if want.State == fleet.Down {
 		m.holder.Revoke() // Nothing may be granted in a term whose record says that the target is down.
 	}
+	condition := m.condition(want.Version)
 	m.runAsync(func(ctx context.Context) func(clock.Instant) {
-		version, err := m.store.Put(ctx, fleet.Kind, fleet.TargetName(want.Host), want.Encode(), want.Version)
+		version, err := m.store.Put(ctx, fleet.Kind, fleet.TargetName(want.Host), want.Encode(), condition)
 		return func(after clock.Instant) { m.handleWritten(after, now, want, version, err) }
 	})
 }
 
 func (m *member) handleWritten(now, sent clock.Instant, want *fleet.Target, version uint64, err error) {
 	m.recordBusy = false
+	m.followEra(now, m.store.Era())
 	if err != nil {
 		m.recordLoaded = false // The write may have taken effect, so read the record.
 		if !errs.Is(err, errs.Conflict) {
@@ -429,6 +486,7 @@
 
 // tick makes the time-driven decisions of the control loop.
 func (m *member) tick(now clock.Instant) {
+	m.followEra(now, m.store.Era())
 	m.probeTarget(now)
 	m.reconcile(now)
 	m.departures.prune(now, m.state.view.Load())
@@ -495,6 +553,7 @@
 		ViewVersion:     m.state.view.Load().LatestVersion(),
 		ViewSequence:    m.coordinator.viewSequence,
 		ViewEpoch:       m.coordinator.viewRound,
+		PreviousEpoch:   m.coordinator.previousRound,
 		LeaseMs:         m.holder.Remaining(now).Milliseconds(),
 		NextHeartbeatMs: lastAt.Add(m.settings.HeartbeatInterval()).Sub(now).Milliseconds(),
 		ColdRemainingMs: m.gate.dispatch.ColdRemaining().Milliseconds(),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -71,6 +71,8 @@
 	// configRevision is the store revision of the configuration that was read last.
 	configRevision atomic.Uint64
 
+	// storeEra is the era of the store that the control state follows.
+	storeEra      uint64
 	departures    departures
 	crashes       *crashWatch
 	quotas        *quotas
@@ -215,4 +217,8 @@
 	event.StoreRestored.On(n.log).Uint64("era", after).Uint64("era_before", before).Send()
 }
 
+// condition returns the condition of a write of an object whose version is known, 0 if it is not known to exist. An object of an earlier era of the
+// store does not exist in the current one before it is written there.
+func (n *node) condition(version uint64) uint64 { return max(version, store.FirstVersion(n.storeEra)) }
+
 func sleep(ctx context.Context, d time.Duration) bool { return clock.Sleep(ctx, d) }
--- a/internal/sidecar/operator.go
+++ b/internal/sidecar/operator.go
@@ -153,7 +153,7 @@
 		var group sync.WaitGroup
 		var configErr, evacuationErr error
 		read := func(call func()) { group.Go(func() { c.protect("refresh", call) }) }
-		read(func() { c.confirmLeadership(readCtx) })
+		read(func() { c.confirmLeadership(readCtx, ctx) })
 		read(func() { configErr = c.fetchConfig(readCtx) })
 		if round%evacuationRefreshRounds == 0 {
 			read(func() { evacuationErr = c.fetchEvacuations(readCtx) })
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -76,6 +76,7 @@
 		if err == nil {
 			n.state.fleetRan.Store(len(v.Tables) > 0 || v.Targets[n.settings.Host] != nil)
 			n.post(func(now clock.Instant) {
+				n.member.followEra(now, store.Era(v.Revision))
 				n.member.adoptListedRecord(v, sent)
 				n.coordinator.installView(now, n.state.view.Load().Merge(v))
 				n.state.viewLoaded.Store(true)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -44,11 +44,13 @@
 // Objects reads and writes the objects of a store that lists and watches by kind. Errors carry the same kinds as
 // those of Store.
 type Objects interface {
+	// Era returns how often the store came back from a copy, as far as its responses have told it. Versions order by era first.
+	Era() uint64
 	// Get returns one object as it is now, or an error of kind NotFound.
 	Get(ctx context.Context, kind, name string) (Object, error)
 	// List returns the objects of a kind and the revision that the list reflects.
 	List(ctx context.Context, kind string) ([]Object, uint64, error)
-	// Put writes a value if the object's version is expect; 0 means that it must not exist.
+	// Put writes a value if the object's version is expect; the first version of the current era means that it must not exist.
 	// It returns the new version, or an error of kind Conflict.
 	Put(ctx context.Context, kind, name string, value []byte, expect uint64) (uint64, error)
 	// Delete removes an object if its version is expect.
--- a/internal/store/version.go
+++ b/internal/store/version.go
@@ -1,6 +1,6 @@
 package store
 
-// Versions of the operator's objects order by era, then by revision. The era counts how often the platform's store came back from a copy, which
+// Versions of objects order by era, then by revision. The era counts how often the platform's store came back from a copy, which
 // sets its revisions back. A store that never did has era 0, and versions equal revisions.
 
 const (
@@ -18,6 +18,9 @@
 	return era<<revisionBits | revision, era <= MaxEra && revision < 1<<revisionBits
 }
 
+// FirstVersion returns the version that precedes all versions of an era. As the condition of a write it stands for an object that does not exist.
+func FirstVersion(era uint64) uint64 { return era << revisionBits }
+
 // Era returns the era of a version.
 func Era(version uint64) uint64 { return version >> revisionBits }
 
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -96,6 +96,8 @@
 	// before the first such call and after a revocation.
 	confirmedAt clock.Instant
 	valid       bool
+	// unbroken is set if the term may not be confirmed any more once it has lapsed.
+	unbroken bool
 	// grantsEnd is when the last grant of the term has certainly expired.
 	grantsEnd clock.Instant
 	// grantedRows holds the rows of the latest grant, grantedSequence the sequence number of the
@@ -127,7 +129,16 @@
 		l.grantsEnd = max(l.grantsEnd, l.holdEnd(now, l.options.HoldDuration))
 	}
 	l.owner, l.startTimeMs = owner, startTimeMs
-	l.confirmedAt, l.valid = confirmedAt, true
+	l.confirmedAt, l.valid, l.unbroken = confirmedAt, true, false
+}
+
+// RequireUnbroken makes the term end when it lapses, because the store may have lost a revocation of it: an owner whose keys were given to
+// others has lapsed before, and later confirmations of the term prove nothing.
+func (l *TargetLease) RequireUnbroken(now clock.Instant) {
+	l.unbroken = true
+	if l.Remaining(now) == 0 {
+		l.Revoke()
+	}
 }
 
 // Owner returns the host and the current term.
@@ -135,9 +146,14 @@
 
 // Confirm records that a call sent at the given time showed the term as not revoked.
 func (l *TargetLease) Confirm(owner keyspace.Owner, sent clock.Instant) {
-	if owner == l.owner && l.valid && sent > l.confirmedAt {
-		l.confirmedAt = sent
+	if owner != l.owner || !l.valid || sent <= l.confirmedAt {
+		return
+	}
+	if l.unbroken && sent.Sub(l.confirmedAt) >= l.options.LeaseDuration {
+		l.Revoke()
+		return
 	}
+	l.confirmedAt = sent
 }
 
 // ConfirmByCoordinator records that the coordinator confirmed the term in answer to a report sent at
