Use no target whose acknowledged departure an outage may have erased

Cause: in an outage a departure counts as kept by the memory of two other nodes. A process that starts in the outage has no such memory; the record of before and the target's heartbeats say that it serves.

Ruled out: nothing else of a node outlasts the kill.

Change: a process whose calls to the store failed before it had read the records does not use its target until a leader has told it the departures of all but at most one of the other nodes, or until 12 s after its start, which leaves the bound on recovery. Keys of such a target are refused at once with the time that is left.

Evidence: TestDepartureOutlastsAllProcesses and TestDepartureIsKnownFromNodesThatWentOn fail on a scratch copy without the wait.

--- a/internal/event/sidecar.go
+++ b/internal/event/sidecar.go
@@ -61,6 +61,8 @@
 	QuarantineBegan      = register(Event{6053, log.ErrorLevel, "request is quarantined because it crashes targets", "Find its caller and correct the target."})
 	StoreRestored        = register(Event{6058, log.WarnLevel, "the store came back from a copy; what it acknowledged since the copy is lost there", "Write the configuration and the evacuations again if they are older in the store than before."})
 	TakeoverCompleted    = register(Event{6060, log.InfoLevel, "the leader knows all tables of earlier eras of the store, and writes and changes tables", ""})
+	DepartureUncertain   = register(Event{6061, log.WarnLevel, "the process started in an outage of the store; the target is not used until its departure can't have been forgotten", "Nothing, unless it lasts: then check that a leader polls this node."})
+	DepartureCertain     = register(Event{6062, log.InfoLevel, "the target's departure can't have been forgotten; the target is used if it has not left", ""})
 	EraInvalid           = register(Event{6059, log.WarnLevel, "a response of the store states an era that is invalid or lower than before; logged once", "Check which program answers at the address of the store. If its era has gone back for good, restart the nodes."})
 	StaleObject          = register(Event{6057, log.WarnLevel, "an object of the store is older than the one in use and is ignored", "If it persists, check whether the store was restored from a copy."})
 	DepartureUnconfirmed = register(Event{6056, log.InfoLevel, "another node did not confirm that it remembers a departure; others are asked", ""})
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -23,6 +23,8 @@
 	CoordinatorLeaseMs int64  `json:"authority_ms,omitempty"`
 	// StoreEra is the era of the store as the coordinator knows it.
 	StoreEra uint64 `json:"store_era,omitempty"`
+	// DeparturesKnown means that Departures has every departure of the node's target that may have been acknowledged.
+	DeparturesKnown bool `json:"departures_known,omitempty"`
 	// Held lists the versions in the view of the coordinator. It is set if the node has told that it has newer objects; the answer carries them.
 	Held *HeldVersions `json:"held,omitempty"`
 	// ConfigVersion is the operator's version of the configuration that the coordinator knows. The revisions of the store don't serve for
@@ -72,6 +74,8 @@
 	Held *HeldVersions `json:"held,omitempty"`
 	// View has the objects that are newer in the view of the node than those that the poll lists in Held.
 	View *View `json:"view,omitempty"`
+	// MemoryIncomplete means that departures may have been acknowledged before the start of the process that it does not know.
+	MemoryIncomplete bool `json:"memory_incomplete,omitempty"`
 	// PreviousEpoch is the epoch of the coordinator before the current one, as far as the node knows.
 	PreviousEpoch uint64 `json:"previous_round,omitempty"`
 	// ConfigVersion is the operator's version of the configuration of the node, 0 if it has none.
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -157,6 +157,9 @@
 		c.viewSequence, c.viewRound = p.ViewSequence, p.Epoch
 	}
 	c.learnDepartures(now, p.Departures)
+	if p.DeparturesKnown {
+		c.member.recordToldDepartures(now)
+	}
 	if p.Quarantined != nil {
 		c.crashes.adopt(now, *p.Quarantined)
 		c.receivedQuarantine = p.Quarantined.Version
@@ -350,12 +353,15 @@
 		}
 		if host == c.settings.Host {
 			n.Report, n.LastSeen = c.member.buildReport(now), now
+			if c.knowsDeparturesOf(now, host) {
+				c.member.recordToldDepartures(now)
+			}
 			if t.State == fleet.Serving && !c.revokeAttempted[t.Owner()] {
 				c.member.holder.ConfirmByCoordinator(t.Owner(), now, c.leadershipRemaining(now))
 			}
 			continue
 		}
-		if n.pollPending || now.Sub(n.pollSentAt) < pollInterval && n.viewSequence >= sequence && n.operatorStamp == operator {
+		if n.pollPending || now.Sub(n.pollSentAt) < pollInterval && n.viewSequence >= sequence && n.operatorStamp == operator && !c.tellsDepartures(now, n, t) {
 			continue
 		}
 		n.operatorStamp = operator
@@ -388,7 +394,7 @@
 // newPoll returns the next poll for a node, with the view changes that it has not seen and the renewal of its lease.
 func (c *coordinator) newPoll(now clock.Instant, n *polledNode, t *fleet.Target, v *fleet.View) *fleet.Poll {
 	p := &fleet.Poll{Coordinator: c.settings.Host, Relay: c.settings.Relay(), Epoch: c.round,
-		StoreEra: c.storeEra, Departures: c.departures.list()}
+		StoreEra: c.storeEra, Departures: c.departures.list(), DeparturesKnown: c.tellsDepartures(now, n, t)}
 	p.EvacuatedEra, p.EvacuatedRevision = c.evacuatedAt()
 	c.announceConfig(p, n)
 	if n.Report != nil && n.Report.QuarantineVersion != c.quarantined.Version {
--- a/internal/sidecar/departure_test.go
+++ b/internal/sidecar/departure_test.go
@@ -11,6 +11,7 @@
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/keyspace"
+	"github.com/citronvane/citronvane/internal/placement"
 	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/tenure"
 	"github.com/citronvane/citronvane/platform/standin"
@@ -191,3 +192,74 @@
 	m.handleDeparture(now.Add(time.Second), fleet.Departure{Host: "h", Instance: "i", StartTimeMs: 7}, func(error) {})
 	require.False(t, n.state.localTarget.Load().holdsKey(now.Add(n.bounds.DrainPeriod), 5), "a repeated call does not extend it")
 }
+
+// Guards against a departure that is forgotten because all processes that remember it end in the same outage: the target goes on sending heartbeats
+// that say that it is ready, and the record of before says so too.
+func TestDepartureOutlastsAllProcesses(t *testing.T) {
+	t.Parallel()
+	r := newTestFleet(t, 3)
+	left, other := r.hosts[0], r.hosts[1]
+	setDown := func(down bool) {
+		for _, h := range r.hosts {
+			h.storeProxy.ChangeFaults(func(f *standin.Faults) { f.Down = down })
+		}
+	}
+	setDown(true)
+	require.Eventually(t, func() bool {
+		return left.node.member.Deregister("i-"+left.node.settings.Host, 1000) == nil
+	}, contactTime, 20*time.Millisecond, "other nodes remember it")
+	for _, h := range r.hosts {
+		h.cancel()
+	}
+	for _, h := range r.hosts {
+		require.NoError(t, <-h.done)
+	}
+	started := time.Now()
+	for _, h := range r.hosts {
+		r.runNode(h, r.newNode(h.node.settings, h.node.bounds))
+	}
+	time.Sleep(time.Second)
+	setDown(false)
+	period := left.node.bounds.RecoveryPeriod
+	for time.Since(started) < period-recoveryMargin-time.Second {
+		require.False(t, left.node.state.localTarget.Load().serving)
+		require.False(t, left.node.state.localTarget.Load().holdsKey(left.node.clock.Now(), 0))
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return other.node.state.localTarget.Load().serving }, period-time.Since(started), 20*time.Millisecond, "targets that have not left are used again")
+	r.requireNoFaults()
+}
+
+// Guards against targets that stay unused after an outage in which few nodes started, and against a departure that is taken for known although the
+// nodes that keep it have not told it.
+func TestDepartureIsKnownFromNodesThatWentOn(t *testing.T) {
+	n := newIdleNode(t)
+	c, now := n.coordinator, n.clock.Now()
+	v := fleet.NewView()
+	c.polledNodes = map[string]*polledNode{}
+	for _, host := range []string{"h", "a", "b", "c"} {
+		v.Targets[host] = &fleet.Target{Host: host, Term: 1, State: fleet.Serving}
+		c.polledNodes[host] = &polledNode{answered: true, Node: placement.Node{Report: &fleet.Report{}}}
+	}
+	n.state.view.Store(v)
+	require.True(t, c.knowsDeparturesOf(now, "a"))
+	c.polledNodes["a"].Report.MemoryIncomplete = true
+	require.True(t, c.tellsDepartures(now, c.polledNodes["a"], v.Targets["a"]), "its own memory does not count")
+	c.polledNodes["b"].answered = false
+	require.True(t, c.knowsDeparturesOf(now, "a"), "two nodes keep a departure, so that another one has told it")
+	n.member.recordOutageAtStart(now)
+	require.False(t, c.knowsDeparturesOf(now, "a"), "both may have kept it")
+	require.False(t, c.tellsDepartures(now, c.polledNodes["a"], v.Targets["a"]))
+
+	heartbeat := &tenure.Heartbeat{Instance: "i", StartTimeMs: 7, Sequence: 1, Service: "s", Slots: 18}
+	n.member.markRecordKnown(now)
+	n.member.handleHeartbeat(now, heartbeat)
+	require.False(t, n.state.localTarget.Load().serving)
+	n.member.recordToldDepartures(now)
+	require.True(t, n.state.localTarget.Load().serving)
+	later := *heartbeat
+	later.Instance, later.StartTimeMs = "i2", time.Now().Add(time.Second).UnixMilli()
+	n.member.pastDepartures.told = false
+	n.member.handleHeartbeat(now, &later)
+	require.True(t, n.state.localTarget.Load().serving, "an incarnation that started later can't have left before")
+}
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -258,6 +258,8 @@
 			return &refusal{answer.NotOwner, 0, "other_service"}
 		case quarantine > 0:
 			return &refusal{answer.Quarantined, quarantine, "quarantined"}
+		case now < o.usableAt:
+			return &refusal{answer.Moving, o.usableAt.Sub(now), "departure_uncertain"}
 		case !o.serving && !(j.key >= 0 && o.holdsKey(now, j.key) && !g.targetEnded(o)):
 			return &refusal{answer.Draining, 0, "target_" + unavailableReason(o)}
 		case !g.callerIsLocal(j) && g.endsBefore(now, j.deadline): // The entrance has checked those of local callers.
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -68,6 +68,7 @@
 	departureSpreadAt clock.Instant
 	// departureLogged is the departure whose acknowledgement was logged last.
 	departureLogged fleet.Departure
+	pastDepartures  departureMemory
 	// targetExited is set when the target's process is known to have exited.
 	targetExited bool
 	// connectionBroken is set when the connection to the target broke during a request.
@@ -81,7 +82,7 @@
 
 func newMember(n *node) *member {
 	hold := max(defaultHold, time.Duration(2.5*float64(n.settings.HeartbeatInterval())))
-	return &member{node: n, startedAt: n.clock.Now(), holder: tenure.NewTargetLease(n.clock.Now(), tenure.Options{
+	return &member{node: n, startedAt: n.clock.Now(), pastDepartures: departureMemory{startedAtMs: time.Now().UnixMilli()}, holder: tenure.NewTargetLease(n.clock.Now(), tenure.Options{
 		LeaseDuration: leaseTerm, HoldDuration: min(hold, n.bounds.MaxHoldDuration), RowSize: platform.GrantRowSize, MaxRowsSize: platform.MaxGrantRowsSize,
 	})}
 }
@@ -205,6 +206,9 @@
 		o.lastRequestAt = m.departingSince.Add(m.bounds.DrainPeriod - drainMargin)
 	case !m.recordKnown:
 		o.notServingReason = "the record of the host has not been read"
+	case m.mayHaveDeparted(now):
+		o.notServingReason = "the target may have left in the outage in which the process started"
+		o.lastRequestAt, o.usableAt = m.startedAt, m.departuresExpire()
 	default:
 		o.serving = true
 	}
@@ -492,6 +496,7 @@
 	m.departures.prune(now, m.state.view.Load())
 	m.spreadDeparture(now)
 	m.answerDepartures(now)
+	m.updateDepartureMemory(now)
 	if m.recordLoaded && !m.recordBusy && now >= m.retryAt && m.record != nil && m.holder.Valid() && m.holder.Remaining(now) < leaseCheckThreshold && now.Sub(m.leaseCheckedAt) >= leaseCheckInterval {
 		m.leaseCheckedAt = now
 		m.loadRecord(now)
@@ -547,19 +552,21 @@
 	rows := m.ownRows()
 	_, lastAt := m.holder.LastHeartbeat()
 	r := &fleet.Report{
-		Host:            m.settings.Host,
-		ProcessID:       m.processIncarnation,
-		SentAt:          int64(now),
-		ViewVersion:     m.state.view.Load().LatestVersion(),
-		ViewSequence:    m.coordinator.viewSequence,
-		ViewEpoch:       m.coordinator.viewRound,
-		PreviousEpoch:   m.coordinator.previousRound,
-		LeaseMs:         m.holder.Remaining(now).Milliseconds(),
-		NextHeartbeatMs: lastAt.Add(m.settings.HeartbeatInterval()).Sub(now).Milliseconds(),
-		ColdRemainingMs: m.gate.dispatch.ColdRemaining().Milliseconds(),
-		Released:        m.holder.Released(now, rows),
-		Record:          m.record,
-		Departures:      m.departures.list(),
+		Host:          m.settings.Host,
+		ProcessID:     m.processIncarnation,
+		SentAt:        int64(now),
+		ViewVersion:   m.state.view.Load().LatestVersion(),
+		ViewSequence:  m.coordinator.viewSequence,
+		ViewEpoch:     m.coordinator.viewRound,
+		PreviousEpoch: m.coordinator.previousRound,
+
+		MemoryIncomplete: m.lacksDepartures(now),
+		LeaseMs:          m.holder.Remaining(now).Milliseconds(),
+		NextHeartbeatMs:  lastAt.Add(m.settings.HeartbeatInterval()).Sub(now).Milliseconds(),
+		ColdRemainingMs:  m.gate.dispatch.ColdRemaining().Milliseconds(),
+		Released:         m.holder.Released(now, rows),
+		Record:           m.record,
+		Departures:       m.departures.list(),
 	}
 	r.SuspectRuns, r.Cleared = m.crashes.report(now)
 	r.QuarantineVersion = m.coordinator.receivedQuarantine
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -105,6 +105,8 @@
 	grantedUntil clock.Instant
 	// lastRequestAt is the instant after which a leaving target gets no requests, 0 if it is not leaving.
 	lastRequestAt clock.Instant
+	// usableAt is when a target is used again whose departure may have been forgotten, 0 if that can't be.
+	usableAt clock.Instant
 	// nextHeartbeat is when the next heartbeat is due, which is the earliest time for a new grant.
 	nextHeartbeat clock.Instant
 }
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -68,6 +68,9 @@
 	for ctx.Err() == nil {
 		sent := n.clock.Now()
 		v, err := n.listView(ctx)
+		if err != nil {
+			n.post(n.member.recordOutageAtStart)
+		}
 		if err == nil && len(v.Tables) > 0 {
 			// The fleet has run before: callers may come at once, and a zone may be evacuated. The first poll makes up for a failed read,
 			// which observeStoreCall logs.
