Count a revocation from when the owner was last seen serving

What callers saw: machines were lost, others got their addresses half a minute later, and when nodes there froze, their keys were given to others in the millisecond of the revocation.

Cause: the leader keeps since when it has seen an owner revoked, and kept it for owners that it had tried to revoke even where the owner was seen serving since. The wait of the second revocation was over when it began.

Ruled out: the answer to the leader's own write restarts the wait, but it comes too late where the watch shows the revocation first.

Change: an owner that is seen in another state than revoked is forgotten, so that the next revocation starts its wait anew.

Evidence: TestRevocationCountsFromItsLatestBegin failed before this change.

--- a/internal/sidecar/assign.go
+++ b/internal/sidecar/assign.go
@@ -62,8 +62,8 @@
 		switch {
 		case t.State == fleet.Revoked && !c.member.isOutdated(t):
 			record(t.Owner())
-		case !c.revokeAttempted[t.Owner()]:
-			delete(c.revokedSince, t.Owner()) // Its record was missing or unreadable for a while.
+		default:
+			delete(c.revokedSince, t.Owner()) // Its record was missing or unreadable for a while, or was written again since.
 		}
 	}
 	for _, table := range v.Tables {
--- a/internal/sidecar/assign_test.go
+++ b/internal/sidecar/assign_test.go
@@ -56,3 +56,25 @@
 	c.recordRevocations(now.Add(time.Second), v)
 	require.NotContains(t, c.revokedSince, owner, "its record is back")
 }
+
+// Guards against keys that are reassigned in the instant of a revocation because an earlier revocation of the owner counts: since then it was seen
+// serving, and its target may hold the keys.
+func TestRevocationCountsFromItsLatestBegin(t *testing.T) {
+	n := newIdleNode(t)
+	c, now := n.coordinator, n.clock.Now()
+	c.leadershipConfirmed = now.Add(time.Hour)
+	record := func(state fleet.State, version uint64) *fleet.View {
+		v := fleet.NewView()
+		v.Targets["a"] = &fleet.Target{Host: "a", Service: "s", Term: 1, State: state, Version: version}
+		return v
+	}
+	owner := keyspace.Owner{Host: "a", Term: 1}
+	c.revokeAttempted[owner] = true
+	c.recordRevocations(now, record(fleet.Revoked, 3))
+	require.Equal(t, now, c.confirmedRevocations()[owner])
+	later := now.Add(2 * leaseTerm)
+	c.recordRevocations(later, record(fleet.Serving, 4))
+	require.NotContains(t, c.confirmedRevocations(), owner)
+	c.recordRevocations(later.Add(time.Second), record(fleet.Revoked, 5))
+	require.Equal(t, later.Add(time.Second), c.confirmedRevocations()[owner])
+}
--- a/internal/sidecar/member_test.go
+++ b/internal/sidecar/member_test.go
@@ -1,13 +1,17 @@
 package sidecar
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/keyspace"
 	"github.com/citronvane/citronvane/internal/tenure"
+	"github.com/citronvane/citronvane/platform"
+	"github.com/citronvane/citronvane/platform/standin"
 )
 
 // Guards against a restarted node that has read its record but not the table yet, and makes its target release all ranges with an
@@ -53,3 +57,46 @@
 	m.handleHeartbeat(now, &tenure.Heartbeat{Instance: "next", StartTimeMs: 9, Sequence: 1, Service: "s", Slots: 18})
 	require.False(t, m.isDeregistered(), "another process of the target")
 }
+
+// Guards against an owner of keys with the identity of an earlier one: the host was lost, its record was deleted, and another machine has its address.
+func TestTermAfterADeletedRecordIsNew(t *testing.T) {
+	heartbeat := &tenure.Heartbeat{Instance: "i", StartTimeMs: 7, Sequence: 1, Service: "s", Slots: 18}
+	listed := fleet.NewView()
+	listed.Revision = 40
+	t.Run("the list lacks the record", func(t *testing.T) {
+		m := newIdleNode(t).member
+		now := m.clock.Now()
+		m.handleHeartbeat(now, heartbeat)
+		m.adoptListedRecord(listed, now)
+		want := m.desiredRecord(now, heartbeat)
+		require.NotNil(t, want)
+		require.Greater(t, want.Term, listed.Revision, "each term takes a write of its record, so that no deleted one is above the revision")
+	})
+	t.Run("a read finds no record", func(t *testing.T) {
+		r := standin.NewStore()
+		door, err := r.OpenEndpoint()
+		require.NoError(t, err)
+		defer door.Close()
+		r.Evacuate("z") // Raises the revision.
+		n := newIdleNode(t)
+		n.settings.Host = "127.0.0.1"
+		n.store = platform.NewStore(door.Address(), n.observeStoreCall, n.observeRestore)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go n.controlLoop(ctx)
+		_, err = n.member.Heartbeat(heartbeat)
+		require.NoError(t, err)
+		_, revision, err := n.store.List(ctx, fleet.Kind)
+		require.NoError(t, err)
+		n.state.viewLoaded.Store(true)
+		require.Eventually(t, func() bool {
+			o, err := n.store.Get(ctx, fleet.Kind, fleet.TargetName(n.settings.Host))
+			if err != nil {
+				return false
+			}
+			record, err := fleet.DecodeTarget(o)
+			require.NoError(t, err)
+			return record.Term > revision
+		}, 5*time.Second, 20*time.Millisecond)
+	})
+}
