Take a refused connection for an exit only with the end of all requests

Cause: a refused connection counted as proof that the target's process had exited. A server that stops gracefully closes its listening socket first and ends when its last request is done. The same assumption stood behind another start time: the former process counted as gone.

Ruled out: the order of heartbeats and the departure. Where the socket closes with the last request, nothing breaks.

Change: the client of the target counts running requests, open connections, and requests that it gave up and that may run until their deadlines. A refused connection proves an exit only if all have ended, the target has not said that it leaves, and the process has run for longer than the holds of an earlier one. A target that is started again in place gets its term once the exit of the former process is proven, it is silent for 1.4 heartbeat intervals, or its holds have expired. The empty heartbeat of an incarnation no longer ends the holds of the one before.

--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -389,7 +389,7 @@
 	platform.SetTargetHeaders(header, o.instance, j.deadline.Sub(g.clock.Now()))
 	request := &upstream.Request{
 		Method: j.head.Method, Path: j.head.Path, Header: header, Host: host, Stream: j.stream, Length: j.head.ContentLength, Reserve: reserveAnswer(ctx),
-		Once: !j.head.Repeatable, ID: j.head.RequestId, Fresh: j.head.RequestId == "", Belongs: platform.MatchRequestID(j.head.RequestId),
+		Once: !j.head.Repeatable, ID: j.head.RequestId, Fresh: j.head.RequestId == "", Deadline: time.Now().Add(j.deadline.Sub(g.clock.Now())), Belongs: platform.MatchRequestID(j.head.RequestId),
 	}
 	if body, ok := j.body.contiguous(); ok {
 		request.Body = body
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -19,6 +19,8 @@
 const (
 	// probeAfterIntervals is the number of heartbeat intervals without a heartbeat after which the node probes the target's port.
 	probeAfterIntervals = 1.4
+	// maxTickGap is the time between two control ticks after which the process counts as having stood still.
+	maxTickGap = 4 * controlTick
 	// probeInterval is the minimum time between two probes.
 	probeInterval = 150 * time.Millisecond
 	// overloadReportThreshold is the number of requests refused for overload within a control tick at which the node reports at once.
@@ -72,19 +74,25 @@
 	// targetExited is set when the target's process is known to have exited.
 	targetExited bool
 	// connectionBroken is set when the connection to the target broke during a request.
-	connectionBroken   bool
+	connectionBroken bool
+	// exitUnproven is set while the target refuses connections and may still work.
+	exitUnproven bool
+	// earlierRunsEnd is when requests that an earlier process sent have ended with the holds that it granted.
+	earlierRunsEnd     clock.Instant
 	probing            bool
 	probedAt           clock.Instant
 	releasedCount      int
 	overdueTicks       int
+	tickedAt           clock.Instant
 	overloadReportedAt clock.Instant
 }
 
 func newMember(n *node) *member {
 	hold := max(defaultHold, time.Duration(2.5*float64(n.settings.HeartbeatInterval())))
-	return &member{node: n, startedAt: n.clock.Now(), pastDepartures: departureMemory{startedAtMs: time.Now().UnixMilli()}, holder: tenure.NewTargetLease(n.clock.Now(), tenure.Options{
+	holder := tenure.NewTargetLease(n.clock.Now(), tenure.Options{
 		LeaseDuration: leaseTerm, HoldDuration: min(hold, n.bounds.MaxHoldDuration), RowSize: platform.GrantRowSize, MaxRowsSize: platform.MaxGrantRowsSize,
-	})}
+	})
+	return &member{node: n, startedAt: n.clock.Now(), earlierRunsEnd: holder.GrantsEnd(), pastDepartures: departureMemory{startedAtMs: time.Now().UnixMilli()}, holder: holder}
 }
 
 // Heartbeat answers a heartbeat of the target.
@@ -147,7 +155,7 @@
 		m.departed.StartTimeMs = b.StartTimeMs
 		m.departures.add(now, []fleet.Departure{m.departed}, m.state.view.Load())
 	}
-	m.targetExited, m.connectionBroken = false, false
+	m.targetExited, m.connectionBroken, m.exitUnproven = false, false, false
 	m.holder.RecordHeartbeat(now, b)
 	m.gate.dispatch.Update(func(now clock.Instant, core *dispatch.Scheduler) {
 		core.SetSlots(b.Slots)
@@ -292,8 +300,9 @@
 		want.Term = m.termAfter(max(m.holder.Owner().Term, m.termFloor))
 		return m.storeEra == 0 || m.holder.GrantsEnded(now) // The store may have lost the record under which an earlier process granted ranges.
 	case r.StartTimeMs != want.StartTimeMs || r.Instance != want.Instance || r.Service != want.Service:
-		// Only one process at a time can bind the host's addresses, so the earlier process has exited.
+		// The earlier incarnation may still work, for example if the target was started again while the former process was stopping.
 		want.Term = m.termAfter(r.Term)
+		return m.grantsOver(now) || m.holder.FormerSilent(now, m.probeAfter())
 	case want.State == fleet.Serving && (r.State != fleet.Serving || m.holder.Owner() == r.Owner() && !m.holder.Valid() || outdated && !m.continues(now, r)):
 		// The term has ended. The next one starts when all of its grants have expired.
 		want.Term = m.termAfter(r.Term)
@@ -306,7 +315,12 @@
 		}
 		return outdated && now >= m.rewriteAt || r.State != want.State || r.Relay != want.Relay || r.Slots != want.Slots || r.Departing != want.Departing
 	}
-	return true
+}
+
+// grantsOver reports whether the host's target holds no ranges that were granted in earlier terms.
+func (m *member) grantsOver(now clock.Instant) bool {
+	config := m.state.config.Load()
+	return m.holder.GrantsEnded(now) || config != nil && !config.Services[m.settings.Service].Keyed
 }
 
 // termAfter returns the number of a term that no process has used on this host before, given the last one that is known. Numbers of an era
@@ -490,6 +504,10 @@
 
 // tick makes the time-driven decisions of the control loop.
 func (m *member) tick(now clock.Instant) {
+	if now.Sub(m.tickedAt) > maxTickGap {
+		m.holder.ListenFrom(now)
+	}
+	m.tickedAt = now
 	m.followEra(now, m.store.Era())
 	m.probeTarget(now)
 	m.reconcile(now)
@@ -519,24 +537,35 @@
 	}
 }
 
-// probeTarget checks whether the target still listens if its heartbeat is overdue, its connection broke or it has deregistered.
-// A refused connection on the local host proves that the process has exited.
+// probeTarget checks whether the target has exited if its heartbeat is overdue or its connection broke. A refused connection alone says only that
+// nobody listens: a server that stops gracefully closes its listening socket first. It proves the exit if the target has also ended all
+// requests and connections of this node, the only one that reaches it. A target that leaves is never taken for exited: its ranges are
+// free when its heartbeats no longer list them, or when its holds have expired.
 func (m *member) probeTarget(now clock.Instant) {
 	last, lastAt := m.holder.LastHeartbeat()
-	overdue := float64(now.Sub(lastAt)) > probeAfterIntervals*float64(m.settings.HeartbeatInterval())
-	if last.Instance == "" || m.targetExited || m.probing || !(overdue || m.connectionBroken || m.isDeregistered()) || now.Sub(m.probedAt) < probeInterval {
+	overdue := now.Sub(lastAt) > m.probeAfter()
+	if last.Instance == "" || m.targetExited || m.probing || !overdue && !m.connectionBroken || m.isDeparting(last) || now.Sub(m.probedAt) < probeInterval || now < m.earlierRunsEnd {
 		return
 	}
 	m.probing, m.probedAt = true, now
 	m.runAsync(func(ctx context.Context) func(clock.Instant) {
 		alive, err := m.upstream.Alive(ctx)
+		ended := !alive && m.upstream.Ended()
 		return func(after clock.Instant) {
 			m.probing = false
-			if current, heard := m.holder.LastHeartbeat(); alive || current.StartTimeMs != last.StartTimeMs || heard > now {
+			current, heard := m.holder.LastHeartbeat()
+			if alive || current.StartTimeMs != last.StartTimeMs || heard > now || m.isDeparting(current) {
 				m.connectionBroken = m.connectionBroken && err != nil
 				return
 			}
-			m.targetExited, m.connectionBroken = true, false
+			if !ended {
+				if !m.exitUnproven {
+					event.TargetExitUnproven.On(m.log).Str("instance", last.Instance).Send()
+				}
+				m.exitUnproven = true
+				return // The next probe asks again.
+			}
+			m.targetExited, m.connectionBroken, m.exitUnproven = true, false, false
 			m.holder.RecordExit(after)
 			m.upstream.Reset()
 			m.gate.recordTargetEnd(after, last.Instance)
@@ -547,6 +576,11 @@
 	})
 }
 
+// probeAfter returns how long after its last heartbeat a target is suspected to have exited.
+func (m *member) probeAfter() time.Duration {
+	return time.Duration(probeAfterIntervals * float64(m.settings.HeartbeatInterval()))
+}
+
 // buildReport returns the report of this node for the leader.
 func (m *member) buildReport(now clock.Instant) *fleet.Report {
 	rows := m.ownRows()
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -92,14 +92,16 @@
 	knownStartTimeMs int64
 	knownAt          clock.Instant
 	exited           bool
+	// formerHeardAt is when a heartbeat of an earlier incarnation than the known one arrived last, or the time from which on one would have been heard.
+	formerHeardAt clock.Instant
 	// confirmedAt is when the last call was sent that showed the term as not revoked. valid is false
 	// before the first such call and after a revocation.
 	confirmedAt clock.Instant
 	valid       bool
 	// unbroken is set if the term may not be confirmed any more once it has lapsed.
 	unbroken bool
-	// grantsEnd is when the last grant of the term has certainly expired.
-	grantsEnd clock.Instant
+	// grantsEnd is when the last grant of the term has certainly expired, earlierGrantsEnd when those of earlier processes have.
+	grantsEnd, earlierGrantsEnd clock.Instant
 	// grantedRows holds the rows of the latest grant, grantedSequence the sequence number of the
 	// heartbeat that it answered.
 	grantedRows     []keyspace.Row
@@ -111,8 +113,9 @@
 // NewTargetLease returns a lease without a term. Grants of an earlier process are not known, so the
 // target is assumed to have holds that last as long as one granted now.
 func NewTargetLease(now clock.Instant, options Options) *TargetLease {
-	l := &TargetLease{options: options}
-	l.grantsEnd = l.holdEnd(now, options.HoldDuration)
+	l := &TargetLease{options: options, formerHeardAt: now}
+	l.earlierGrantsEnd = l.holdEnd(now, options.HoldDuration)
+	l.grantsEnd = l.earlierGrantsEnd
 	return l
 }
 
@@ -182,8 +185,11 @@
 
 // ObserveIncarnation records that the store names an incarnation of the target, which an earlier process
 // of the node has heard of, and whether that has exited. A heartbeat of an earlier one that came before is
-// a late one and is forgotten.
+// a late one and is forgotten. What a later one holds says nothing of the incarnation in the store.
 func (l *TargetLease) ObserveIncarnation(now clock.Instant, startTimeMs int64, exited bool) {
+	if !exited && l.owner.IsZero() && startTimeMs < l.knownStartTimeMs {
+		l.grantsEnd = max(l.grantsEnd, l.earlierGrantsEnd)
+	}
 	if startTimeMs <= l.knownStartTimeMs {
 		return
 	}
@@ -198,6 +204,7 @@
 // has exited, or has not been heard of for lateHeartbeatWindow.
 func (l *TargetLease) Stale(now clock.Instant, b *Heartbeat) bool {
 	if b.StartTimeMs < l.knownStartTimeMs {
+		l.formerHeardAt = max(l.formerHeardAt, now)
 		return !l.exited && now.Sub(l.knownAt) < lateHeartbeatWindow
 	}
 	return b.StartTimeMs == l.lastHeartbeat.StartTimeMs && b.Instance == l.lastHeartbeat.Instance && b.Sequence <= l.lastHeartbeat.Sequence && l.lastHeartbeat.Sequence != 0
@@ -205,6 +212,10 @@
 
 // RecordHeartbeat records a heartbeat. The caller must discard stale ones.
 func (l *TargetLease) RecordHeartbeat(now clock.Instant, b *Heartbeat) {
+	if b.StartTimeMs != l.lastHeartbeat.StartTimeMs {
+		l.formerHeardAt = max(l.formerHeardAt, l.lastHeartbeatAt)
+	}
+	onlyIncarnation := l.knownStartTimeMs == 0 || l.knownStartTimeMs == b.StartTimeMs || l.exited
 	if b.StartTimeMs != l.lastHeartbeat.StartTimeMs {
 		l.releases = nil
 	}
@@ -217,7 +228,7 @@
 	if len(l.releases) > maxReleases {
 		l.releases = l.releases[len(l.releases)-maxReleases:]
 	}
-	if len(b.HeldRanges) == 0 && (b.StartTimeMs == l.startTimeMs || l.owner.IsZero()) && b.Sequence > l.grantedSequence {
+	if len(b.HeldRanges) == 0 && (b.StartTimeMs == l.startTimeMs || l.owner.IsZero() && onlyIncarnation) && b.Sequence > l.grantedSequence {
 		l.grantsEnd = min(l.grantsEnd, now)
 	}
 }
@@ -275,10 +286,18 @@
 	return false
 }
 
+// ListenFrom records that the process did not take heartbeats for some time until now, so that the silence of an earlier incarnation says nothing.
+func (l *TargetLease) ListenFrom(now clock.Instant) { l.formerHeardAt = max(l.formerHeardAt, now) }
+
+// FormerSilent reports whether no earlier incarnation than the known one has sent a heartbeat for the time. One that still works sends them.
+func (l *TargetLease) FormerSilent(now clock.Instant, d time.Duration) bool {
+	return now.Sub(l.formerHeardAt) >= d
+}
+
 // GrantsEnded reports whether all grants have certainly expired.
 func (l *TargetLease) GrantsEnded(now clock.Instant) bool { return now >= l.grantsEnd }
 
-// RecordExit records that the target process has exited, which ends its holds.
+// RecordExit records that the target's process has exited, which ends its holds.
 func (l *TargetLease) RecordExit(now clock.Instant) {
 	l.grantsEnd = min(l.grantsEnd, now)
 	l.grantedRows = nil
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -227,3 +227,22 @@
 	require.Zero(t, grant.OmittedRows)
 	require.Equal(t, "token", rows[0].Handover, "the table keeps its tokens")
 }
+
+// Guards against taking the empty heartbeat of an incarnation for the end of the holds of the one before, which an earlier process of the node granted.
+func TestNewIncarnationSaysNothingOfTheFormer(t *testing.T) {
+	start := clock.Instant(time.Hour)
+	empty := &Heartbeat{Instance: "i", StartTimeMs: 8, Sequence: 1}
+	for name, observe := range map[string]func(*TargetLease){
+		"the record is read first":  func(l *TargetLease) { l.ObserveIncarnation(start, 7, false); l.RecordHeartbeat(start, empty) },
+		"the heartbeat comes first": func(l *TargetLease) { l.RecordHeartbeat(start, empty); l.ObserveIncarnation(start, 7, false) },
+	} {
+		l := NewTargetLease(start, Options{LeaseDuration: 4 * time.Second, HoldDuration: 3 * time.Second})
+		observe(l)
+		require.False(t, l.GrantsEnded(start.Add(3*time.Second)), name)
+		require.True(t, l.GrantsEnded(start.Add(4*time.Second)), name)
+	}
+	exited := NewTargetLease(start, Options{LeaseDuration: 4 * time.Second, HoldDuration: 3 * time.Second})
+	exited.ObserveIncarnation(start, 7, true)
+	exited.RecordHeartbeat(start, empty)
+	require.True(t, exited.GrantsEnded(start))
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -81,6 +81,8 @@
 	// ID identifies the request. It is sent only once on a connection: a late second copy of the first answer could not be told from the
 	// second one.
 	ID string
+	// Deadline is when the target stops to work on the request, zero if that is not known.
+	Deadline time.Time
 	// Fresh asks for a connection that has carried nothing, because nothing else shows that the answer is the request's own.
 	Fresh bool
 	// Reserve reports whether there is memory for an answer of the given size. Without it the answer is streamed. Nil stands for always.
@@ -102,9 +104,10 @@
 
 // Client holds the connections to one target.
 type Client struct {
-	address string
-	mu      sync.Mutex
-	idle    []*conn
+	address  string
+	mu       sync.Mutex
+	idle     []*conn
+	activity activity
 }
 
 type conn struct {
@@ -153,8 +156,8 @@
 	}
 }
 
-// Alive reports whether something listens on the target's address. Only a refused connection proves the contrary;
-// other failures are returned.
+// Alive reports whether something listens on the target's address. Only a refused connection proves the contrary; other failures are returned. A
+// target that does not listen may still work on requests; see Ended.
 func (c *Client) Alive(ctx context.Context) (bool, error) {
 	k, err := c.dial(ctx)
 	if err == nil {
@@ -285,11 +288,13 @@
 	if err != nil {
 		return nil, err
 	}
+	c.activity.begin()
 	stop := context.AfterFunc(ctx, func() { _ = k.Close() }) // Unblocks reads and writes.
 	a, reuse, err := k.exchange(r)
 	if err != nil {
 		stop()
 		_ = k.Close() // Its state is unknown.
+		c.activity.end(!errors.Is(err, ErrNotSent) && (ctx.Err() != nil || !endedByTarget(err)), r.Deadline)
 		if ctx.Err() != nil && errors.Is(err, ErrNotSent) {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
 		}
@@ -299,9 +304,14 @@
 		return nil, err
 	}
 	if a.Rest != nil {
-		a.Rest = &rest{a.Rest, func() { stop(); _ = k.Close() }} // A streamed answer is the last one of its connection.
+		a.Rest = &rest{ReadCloser: a.Rest, close: func(abandoned bool) {
+			stop()
+			_ = k.Close()
+			c.activity.end(abandoned, r.Deadline)
+		}}
 		return a, nil
 	}
+	c.activity.end(false, r.Deadline)
 	if k.recordUse(r.ID); stop() && reuse && len(k.ids) < maxRequests {
 		c.put(k)
 	} else {
@@ -310,17 +320,6 @@
 	return a, nil
 }
 
-// rest closes the connection after a streamed answer.
-type rest struct {
-	io.ReadCloser
-	close func()
-}
-
-func (r *rest) Close() error {
-	r.close()
-	return nil
-}
-
 // exchange sends the request and reads its answer. reuse says that the connection may carry another request.
 func (k *conn) exchange(r *Request) (a *Answer, reuse bool, err error) {
 	written := make(chan error, 1)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -305,3 +305,83 @@
 	require.NoError(t, err)
 	require.Equal(t, "still arriving", <-got)
 }
+
+// Guards against taking a target for exited that has closed its listening socket and still works: a server that stops gracefully does so.
+func TestTargetThatStopsListeningHasNotEnded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	release := make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		if r.Header.Get("Id") != "quick" {
+			<-release
+		}
+	})}
+	go func() { _ = server.Serve(listener) }() // It returns when the listener is closed.
+	c := NewClient(listener.Addr().String())
+	refuses := func() bool {
+		alive, err := c.Alive(t.Context())
+		return err == nil && !alive
+	}
+	_, err = c.Do(t.Context(), get("quick", false))
+	require.NoError(t, err)
+	require.False(t, c.Ended(), "an idle connection is open")
+	answered := make(chan error, 1)
+	go func() {
+		_, err := c.Do(t.Context(), get("long", false))
+		answered <- err
+	}()
+	require.Eventually(t, func() bool { return !c.activity.ended(time.Now()) }, time.Second, time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Shutdown(context.Background()) }()
+	require.Eventually(t, refuses, time.Second, time.Millisecond)
+	require.False(t, c.Ended(), "a request runs")
+	close(release)
+	require.NoError(t, <-answered)
+	require.NoError(t, <-stopped)
+	require.Eventually(t, c.Ended, time.Second, time.Millisecond)
+}
+
+// Guards against the end of a target that is noticed late, because requests count as running that broke with it.
+func TestTargetThatExitsHasEnded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	began := make(chan struct{}, 3)
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		began <- struct{}{}
+		select {}
+	})}
+	go func() { _ = server.Serve(listener) }() // It returns when the server is closed.
+	c := NewClient(listener.Addr().String())
+	failed := make(chan error, 3)
+	for i := range 3 {
+		go func() {
+			_, err := c.Do(t.Context(), get(strconv.Itoa(i), false))
+			failed <- err
+		}()
+	}
+	for range 3 {
+		<-began
+	}
+	require.False(t, c.Ended())
+	require.NoError(t, server.Close())
+	for range 3 {
+		require.ErrorIs(t, <-failed, ErrBroken)
+	}
+	require.True(t, c.Ended())
+}
+
+// Guards against taking a target for exited that works on a request whose connection this client has closed.
+func TestAbandonedRequestMayRunUntilItsDeadline(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	c := serve(t, func(int, *http.Request) string { <-release; return "!close" })
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	request := get("1", false)
+	request.Deadline = time.Now().Add(300 * time.Millisecond)
+	_, err := c.Do(ctx, request)
+	require.Error(t, err)
+	require.False(t, c.Ended())
+	require.True(t, c.activity.ended(request.Deadline.Add(2*deadlineSlack)))
+}
