Follow the framing of callers' requests, and enforce the limit of heads

A proper request whose body has the text of two length fields got 400.

Cause: the scan for requests with both fields read all bytes of a connection as heads and forgot the beginning of an incomplete head beyond 64 KiB, of which net/http reads 4 KB more. limits.max_header_bytes was not read.

Ruled out: a smaller net/http limit alone: it leaves the false refusals, and the scan beside the framing.

Requests on whose end two readers may disagree get 400, heads above the configured limit 431, and the connection is closed.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -27,6 +27,7 @@
 	NoRule           Kind = "no_rule"
 	BadRequest       Kind = "bad_request"
 	TooLarge         Kind = "too_large"
+	HeadTooLarge     Kind = "head_too_large"
 	BodyTimeout      Kind = "body_timeout"
 	IdentityRequired Kind = "identity_required"
 	NoOwner          Kind = "no_owner"
@@ -66,6 +67,7 @@
 	NoRule:           {404, true, false, "No rule matches the request.", "Check the path, or ask the operator to add a rule."},
 	BadRequest:       {400, true, false, "The request is malformed.", "Correct the request as the detail says."},
 	TooLarge:         {413, true, false, "The request exceeds a size bound.", "Send a smaller request."},
+	HeadTooLarge:     {431, true, false, "The header fields exceed a size bound.", "Send fewer or shorter header fields."},
 	BodyTimeout:      {408, true, false, "The body of the request arrived too slowly.", "Send the whole body without pauses."},
 	IdentityRequired: {428, true, false, "A non-idempotent request needs an identity.", "Send an Idempotency-Key header that is unique to this request."},
 	NoOwner:          {503, true, true, "The key has no live owner.", "Try again after the stated time."},
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -67,7 +67,9 @@
 
 // Limits are the limits on requests and connections of callers.
 type Limits struct {
-	MaxBody     int64
+	MaxBody int64
+	// MaxHead is the limit of a request's head in bytes, 0 for the node's own.
+	MaxHead     int64
 	IdleTimeout time.Duration
 }
 
--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -211,9 +211,13 @@
 // parseRequest validates an HTTP request and returns its exchange, or a refusal.
 func (e *entrance) parseRequest(now clock.Instant, w http.ResponseWriter, r *http.Request) (*exchange, *refusal) {
 	x := &exchange{arrived: now, key: -1, method: r.Method, path: r.RequestURI, length: r.ContentLength}
-	if ambiguousLength(r.Context()) {
+	switch framingFault(r.Context()) {
+	case ambiguousFraming:
 		w.Header().Set("Connection", "close")
 		return x, &refusal{answer.BadRequest, 0, "two_lengths"}
+	case headTooLarge:
+		w.Header().Set("Connection", "close")
+		return x, &refusal{answer.HeadTooLarge, 0, "head_size"}
 	}
 	meta, err := platform.ReadRequest(r.Header)
 	x.id, x.key = meta.ID, meta.Key
--- a/internal/sidecar/halfclose_test.go
+++ b/internal/sidecar/halfclose_test.go
@@ -47,7 +47,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server.ConnState = trackHeads(n.entrance.idle.trackState)
-	go func() { _ = server.Serve(credentialListener{sniffListener{l}, n.state.hasTenants}) }() // Serve returns after Close.
+	go func() { _ = server.Serve(credentialListener{sniffListener{l, n.state.maxHead}, n.state.hasTenants}) }() // Serve returns after Close.
 	t.Cleanup(func() { _ = server.Close() })
 	return n, l.Addr().String()
 }
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -17,7 +16,7 @@
 const (
 	// readHeaderTimeout bounds how long a caller may take to send a request's headers.
 	readHeaderTimeout = 10 * time.Second
-	// maxHeaderBytes bounds a request's headers; the platform's callers stay within 16 KiB.
+	// maxHeaderBytes bounds a request's headers where the configuration sets no lower limit.
 	maxHeaderBytes = 64 << 10
 	// defaultIdleTimeout is how long a caller's connection may be idle before a configuration sets the limit.
 	defaultIdleTimeout = 60 * time.Second
@@ -30,7 +29,11 @@
 )
 
 // sniffListener wraps connections in sniffConn.
-type sniffListener struct{ net.Listener }
+type sniffListener struct {
+	net.Listener
+	// maxHead returns the configured limit of a request's head in bytes, 0 for none; nil stands for none.
+	maxHead func() int64
+}
 
 // Accept returns the next connection.
 func (l sniffListener) Accept() (net.Conn, error) {
@@ -38,88 +41,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return &sniffConn{Conn: c}, nil
+	return &sniffConn{Conn: c, framing: requestFraming{maxHead: l.maxHead}}, nil
 }
 
-// sniffConn detects requests with both Content-Length and Transfer-Encoding, which net/http accepts and hides. Such a request may
-// smuggle another one in its body.
+// sniffConn follows the framing of the requests on a caller's connection.
 type sniffConn struct {
 	net.Conn
-	// partial holds the start of an incomplete header block.
-	partial     []byte
-	ambiguous   atomic.Bool
+	framing     requestFraming
 	credentials credentialFilter
 }
 
-// Read reads from the connection and scans the data for ambiguous lengths.
+// Read reads from the connection and follows the framing of what was read.
 func (c *sniffConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.ambiguous.Load() {
-		c.scan(p[:n])
-	}
 	if n > 0 {
+		c.framing.scan(p[:n])
 		c.credentials.apply(p[:n])
 	}
 	return n, err
 }
 
-var (
-	transferEncodingField = []byte("\ntransfer-encoding:")
-	contentLengthField    = []byte("\ncontent-length:")
-	headerEnd             = []byte("\r\n\r\n")
-)
-
-// joinBuffers holds buffers for scan. A new buffer for each read makes as much garbage as the callers send, which the collector does not
-// keep up with on a busy host.
-var joinBuffers = sync.Pool{New: func() any { return new([]byte) }}
-
-// scan searches the data for a header block with both fields. A body that looks like one is rejected as well.
-func (c *sniffConn) scan(data []byte) {
-	if len(c.partial) > 0 {
-		joined := joinBuffers.Get().(*[]byte)
-		defer joinBuffers.Put(joined)
-		*joined = append(append((*joined)[:0], c.partial...), data...)
-		data, c.partial = *joined, nil
-	}
-	for len(data) > 0 {
-		end := bytes.Index(data, headerEnd)
-		block := data
-		if end >= 0 {
-			block = data[:end]
-		}
-		if hasField(block, transferEncodingField) && hasField(block, contentLengthField) {
-			c.ambiguous.Store(true)
-			return
-		}
-		if end < 0 {
-			if len(data) <= maxHeaderBytes && (hasField(block, transferEncodingField) || hasField(block, contentLengthField)) {
-				c.partial = append([]byte(nil), data...)
-			} else if tail := len(data) - len(transferEncodingField); tail > 0 {
-				c.partial = append([]byte(nil), data[tail:]...)
-			} else {
-				c.partial = append([]byte(nil), data...)
-			}
-			return
-		}
-		data = data[end+len(headerEnd):]
-	}
-}
-
-// hasField reports whether the block has a header field of the name, ignoring case.
-func hasField(block, name []byte) bool {
-	for i := 0; i+len(name) <= len(block); i++ {
-		next := bytes.IndexByte(block[i:], '\n')
-		if next < 0 || i+next+len(name) > len(block) {
-			return false
-		}
-		i += next
-		if bytes.EqualFold(block[i:i+len(name)], name) {
-			return true
-		}
-	}
-	return false
-}
-
 type connKey struct{}
 
 // withConn adds the connection to the context of its requests.
@@ -151,10 +92,13 @@
 	return left || err != nil
 }
 
-// ambiguousLength reports whether a request on the connection had both Content-Length and Transfer-Encoding.
-func ambiguousLength(ctx context.Context) bool {
+// framingFault returns what is wrong with the framing of a request on the connection, or 0. The connection is not used any more then.
+func framingFault(ctx context.Context) headFault {
 	c, ok := ctx.Value(connKey{}).(*sniffConn)
-	return ok && c.ambiguous.Load()
+	if !ok {
+		return 0
+	}
+	return headFault(c.framing.fault.Load())
 }
 
 // entranceListener is a listener whose end a server takes for a planned one.
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -59,7 +59,7 @@
 	}))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go func() { _ = server.Serve(sniffListener{listener}) }()
+	go func() { _ = server.Serve(sniffListener{Listener: listener}) }()
 	defer server.Close()
 	send := func() net.Conn {
 		c, err := net.Dial("tcp", listener.Addr().String())
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -149,7 +149,7 @@
 			listener = callerListener{s.entranceListener, n.callers}
 		}
 		go func() {
-			if err := l.server.Serve(credentialListener{sniffListener{listener}, n.state.hasTenants}); err != http.ErrServerClosed {
+			if err := l.server.Serve(credentialListener{sniffListener{listener, n.state.maxHead}, n.state.hasTenants}); err != http.ErrServerClosed {
 				s.failed <- errs.Wrap(err, errs.Unavailable, "Start the node again.", "serve %s", l.address)
 			}
 		}()
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -194,6 +194,14 @@
 	return s.config.Load() != nil && s.viewLoaded.Load() && !s.draining.Load()
 }
 
+// maxHead returns the configured limit of a request's head in bytes, 0 if there is none.
+func (s *state) maxHead() int64 {
+	if config := s.config.Load(); config != nil {
+		return config.Limits.MaxHead
+	}
+	return 0
+}
+
 // startsFleet reports whether the fleet starts for the first time, as far as this node knows. The records of nodes that start at the same
 // time don't count.
 func (s *state) startsFleet() bool {
