Answer HEAD with the head of the target's answer

Cause: the stated length of the answer to HEAD was read as a body, which such an answer does not have, so that the answer counted as broken.

Change: an answer to HEAD has no body; the length that it states goes to the caller, also from another node.

--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -154,7 +154,9 @@
 	body   []byte
 	stream io.ReadCloser
 	length int64
-	host   string
+	// statedLength is the length that the response to a HEAD request states, -1 if it states none.
+	statedLength int64
+	host         string
 	// refusal is set if the request has not run, err if its outcome is unknown.
 	refusal *refusal
 	err     error
@@ -310,8 +312,12 @@
 	for name, values := range res.header {
 		header[name] = values
 	}
-	if res.length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(res.length, 10))
+	length := res.length
+	if x.method == http.MethodHead {
+		length = res.statedLength
+	}
+	if length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	w.WriteHeader(res.status)
 	if res.stream == nil {
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -226,6 +226,20 @@
 		require.Equal(t, 404, status)
 	})
 
+	// Guards against the stated length of an answer to HEAD that is read as a body, which the answer doesn't have.
+	t.Run("HEAD is answered as GET is, without the body", func(t *testing.T) {
+		for i, h := range r.hosts { // One of them has the owner.
+			request, err := http.NewRequest(http.MethodHead, "http://"+h.node.settings.Listen.Entrance+"/k/x", nil)
+			require.NoError(t, err)
+			request.Host, request.Header = standin.Host, standin.KeyedHeader(fmt.Sprint("head-", i), 7)
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, 200, response.StatusCode)
+			require.Equal(t, int64(len("HEAD /k/x ")), response.ContentLength)
+		}
+	})
+
 	t.Run("a request with two lengths is refused and its connection closed", func(t *testing.T) {
 		c, err := net.Dial("tcp", r.hosts[0].node.settings.Listen.Entrance)
 		require.NoError(t, err)
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -145,6 +145,9 @@
 	g.link.RecordSent(g.clock.Now(), route, max(a.Length, int64(len(a.Body))))
 	head := &wire.ResponseHead{Status: int32(a.Status), ContentLength: a.Length}
 	head.Headers = append(relay.FromHTTP(removeNodeHeaders(platform.ForwardResponseHeaders(a.Header))), g.loadHeader())
+	if a.StatedLength != 0 {
+		head.Headers = append(head.Headers, &wire.Header{Name: headerStatedLength, Value: strconv.FormatInt(a.StatedLength, 10)})
+	}
 	if err := w.WriteHead(head); err != nil {
 		return err
 	}
@@ -166,6 +169,8 @@
 	headerReason  = "Citronvane-Reason"
 	headerAfter   = "Citronvane-After-Ms"
 	headerLoad    = "Citronvane-Load"
+	// headerStatedLength holds the length that the answer to a HEAD request states, -1 if it states none.
+	headerStatedLength = "Citronvane-Stated-Length"
 )
 
 func (r *refusal) headers(load *wire.Header) []*wire.Header {
--- a/internal/sidecar/notrun.go
+++ b/internal/sidecar/notrun.go
@@ -34,7 +34,7 @@
 
 // removeNodeHeaders removes the headers with which nodes answer each other from a target's response.
 func removeNodeHeaders(header http.Header) http.Header {
-	for _, name := range []string{headerRefusal, headerReason, headerAfter, headerLoad, answer.KindHeader} {
+	for _, name := range []string{headerRefusal, headerReason, headerAfter, headerLoad, headerStatedLength, answer.KindHeader} {
 		header.Del(name)
 	}
 	return header
--- a/internal/sidecar/perform.go
+++ b/internal/sidecar/perform.go
@@ -302,7 +302,7 @@
 	if refused != nil || err != nil {
 		return &result{refusal: refused, err: err}
 	}
-	return &result{status: a.Status, header: platform.ForwardResponseHeaders(a.Header), body: a.Body, stream: a.Rest, length: a.Length}
+	return &result{status: a.Status, header: platform.ForwardResponseHeaders(a.Header), body: a.Body, stream: a.Rest, length: a.Length, statedLength: a.StatedLength}
 }
 
 // sendRemote sends the request to the target on another host.
@@ -328,6 +328,12 @@
 		return &result{refusal: r}, load
 	}
 	res := &result{status: int(response.Head.Status), header: header, length: response.Head.ContentLength}
+	if stated := header.Get(headerStatedLength); stated != "" {
+		if res.statedLength, err = strconv.ParseInt(stated, 10, 64); err != nil {
+			return &result{err: err}, load
+		}
+		header.Del(headerStatedLength)
+	}
 	if x.key < 0 && res.status < http.StatusMultipleChoices && res.length >= 0 {
 		e.pool.RecordResponseSize(x.selectionCriteria(), res.length)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -100,6 +100,8 @@
 	Rest   io.ReadCloser
 	// Length of Rest, -1 if unknown.
 	Length int64
+	// StatedLength is the length that the answer to a HEAD request states, -1 if it states none. Such an answer has no body.
+	StatedLength int64
 }
 
 // Client holds the connections to one target.
@@ -376,6 +378,9 @@
 	if !r.Belongs(response.Header, k.used) {
 		return nil, keep && skip(response), false, nil
 	}
+	if r.Method == http.MethodHead {
+		return &Answer{Status: response.StatusCode, Header: response.Header, StatedLength: response.ContentLength}, keep, true, nil
+	}
 	a = &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
 	if response.ContentLength > MaxBuffered || response.ContentLength > smallAnswer && r.Reserve != nil && !r.Reserve(response.ContentLength) {
 		a.Rest = response.Body
