Leave a suspension of the leader out of the silence of its nodes

Cause: the silence of a node counts from its last answer, also over a time in which the leader itself took no messages.

Change: a process that had no control event or tick for 1 s counts as suspended. The time is left out of the silence of polled nodes, and of that of a former incarnation of the target. Lease durations that are counted from a node's last answer only get shorter by this.

Evidence: TestSuspendedLeaderRevokesNobody plans with and without the suspension: without it both owners are revoked.

Measured: by that test alone; no process was suspended.

--- a/internal/event/sidecar.go
+++ b/internal/event/sidecar.go
@@ -60,6 +60,7 @@
 	CrashSuspected       = register(Event{6052, log.WarnLevel, "target exited while it was running a request", "Search the log for the fingerprint."})
 	QuarantineBegan      = register(Event{6053, log.ErrorLevel, "request is quarantined because it crashes targets", "Find its caller and correct the target."})
 	StoreRestored        = register(Event{6058, log.WarnLevel, "the store came back from a copy; what it acknowledged since the copy is lost there", "Write the configuration and the evacuations again if they are older in the store than before."})
+	ProcessSuspended     = register(Event{6064, log.WarnLevel, "the process was suspended; the silence of other nodes in that time is not held against them", "If it happens again, check the host's load and its hypervisor."})
 	TargetExitUnproven   = register(Event{6063, log.InfoLevel, "the target refuses connections and may still work on requests; its ranges stay with it", ""})
 	TakeoverCompleted    = register(Event{6060, log.InfoLevel, "the leader knows all tables of earlier eras of the store, and writes and changes tables", ""})
 	DepartureUncertain   = register(Event{6061, log.WarnLevel, "the process started in an outage of the store; the target is not used until its departure can't have been forgotten", "Nothing, unless it lasts: then check that a leader polls this node."})
--- a/internal/sidecar/assign_test.go
+++ b/internal/sidecar/assign_test.go
@@ -10,6 +10,7 @@
 	"github.com/citronvane/citronvane/internal/fleet"
 	"github.com/citronvane/citronvane/internal/ingress"
 	"github.com/citronvane/citronvane/internal/keyspace"
+	"github.com/citronvane/citronvane/internal/placement"
 )
 
 // Guards against two owners of a range: a leader that has been replaced without knowing it revokes a host that it can't reach and
@@ -78,3 +79,30 @@
 	c.recordRevocations(later.Add(time.Second), record(fleet.Revoked, 5))
 	require.Equal(t, later.Add(time.Second), c.confirmedRevocations()[owner])
 }
+
+// Guards against a leader that was suspended, has therefore heard from nobody, and revokes all owners when it goes on.
+func TestSuspendedLeaderRevokesNobody(t *testing.T) {
+	const suspended = unresponsiveTimeout + 100*time.Millisecond
+	for _, noticed := range []bool{true, false} {
+		n := newIdleNode(t)
+		c, now := n.coordinator, n.clock.Now()
+		v := fleet.NewView()
+		table := keyspace.Table{Fence: 2}
+		c.polledNodes = map[string]*polledNode{}
+		for i, host := range []string{"a", "b"} {
+			v.Targets[host] = &fleet.Target{Host: host, Service: "s", Term: 1, State: fleet.Serving, Slots: 18, Version: 2}
+			table.Rows = append(table.Rows, keyspace.Row{Range: keyspace.Range{From: i * 32768, To: i*32768 + 32767}, Owner: v.Targets[host].Owner(), Fence: uint64(i + 1)})
+			c.polledNodes[host] = &polledNode{answered: true, Node: placement.Node{LastSeen: now.Add(-suspended), Report: &fleet.Report{LeaseMs: 1000}}}
+		}
+		v.Tables["s"] = &fleet.Table{Table: table, Version: 3}
+		n.state.view.Store(v)
+		n.state.config.Store(ingress.NewConfig(1, nil, map[string]ingress.Service{"s": {Keyed: true}}, ingress.Limits{}))
+		c.isLeader, c.pendingWrites = true, map[string]bool{}
+		c.outage.lastAnswer = now
+		if noticed {
+			n.recordSuspension(now.Add(-suspended))
+		}
+		c.plan(now)
+		require.Equal(t, noticed, len(c.revokeAttempted) == 0, "the suspension is noticed: %t", noticed)
+	}
+}
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -379,6 +379,13 @@
 	}
 }
 
+// skipSuspension leaves a time in which this process was suspended out of that for which nodes have not answered it.
+func (c *coordinator) skipSuspension(pause time.Duration) {
+	for _, n := range c.polledNodes {
+		n.LastSeen = n.LastSeen.Add(pause)
+	}
+}
+
 // operatorStamp returns a value that changes with the configuration, the evacuated zones and the quarantined requests.
 func (c *coordinator) operatorStamp() uint64 {
 	stamp := max(c.state.configVersion.Load(), c.reportedConfig) + c.quarantined.Version
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -19,8 +19,6 @@
 const (
 	// probeAfterIntervals is the number of heartbeat intervals without a heartbeat after which the node probes the target's port.
 	probeAfterIntervals = 1.4
-	// maxTickGap is the time between two control ticks after which the process counts as having stood still.
-	maxTickGap = 4 * controlTick
 	// probeInterval is the minimum time between two probes.
 	probeInterval = 150 * time.Millisecond
 	// overloadReportThreshold is the number of requests refused for overload within a control tick at which the node reports at once.
@@ -83,7 +81,6 @@
 	probedAt           clock.Instant
 	releasedCount      int
 	overdueTicks       int
-	tickedAt           clock.Instant
 	overloadReportedAt clock.Instant
 }
 
@@ -504,10 +501,6 @@
 
 // tick makes the time-driven decisions of the control loop.
 func (m *member) tick(now clock.Instant) {
-	if now.Sub(m.tickedAt) > maxTickGap {
-		m.holder.ListenFrom(now)
-	}
-	m.tickedAt = now
 	m.followEra(now, m.store.Era())
 	m.probeTarget(now)
 	m.reconcile(now)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -115,10 +115,13 @@
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
 	for {
+		waiting := n.clock.Now()
 		select {
 		case event := <-n.controlEvents:
+			n.recordSuspension(waiting)
 			n.runControlEvent(event)
 		case <-ticker.C:
+			n.recordSuspension(waiting)
 			n.memory.update(n.log, n.memory.usedBytes())
 			n.runControlEvent(n.member.tick)
 			n.runControlEvent(n.coordinator.tick)
@@ -128,6 +131,22 @@
 	}
 }
 
+// maxControlPause is the time without a control event or tick after which the process counts as having been suspended.
+const maxControlPause = 4 * controlTick
+
+// recordSuspension records that the process has taken no messages since the instant, if that is longer than its ticks allow. The silence of others
+// in that time says nothing about them.
+func (n *node) recordSuspension(since clock.Instant) {
+	now := n.clock.Now()
+	pause := now.Sub(since)
+	if pause <= maxControlPause {
+		return
+	}
+	event.ProcessSuspended.On(n.log).Str("for", pause.Round(time.Millisecond).String()).Send()
+	n.member.holder.ListenFrom(now)
+	n.coordinator.skipSuspension(pause)
+}
+
 // sendMessage sends a message to another node and returns the report that answers it.
 func (n *node) sendMessage(ctx context.Context, address, method string, message []byte) (*fleet.Report, error) {
 	return n.sendMessageWithin(ctx, pollTimeout, address, method, message)
