Let slow callers give way where new ones find no place

Cause: a caller without progress keeps its place for the whole window of 10 s, and a new connection only takes the place of an idle one.

Ruled out: a shorter window for all: a caller that pauses for seconds harms nobody while there are places.

Change: where no connection is idle, a new one takes the place of the caller whose body has been below the least rate for longest, at least 1 s. That caller gets 408 if its request was not sent on. An eighth of the places may belong to connections that have to be closed yet.

--- a/internal/sidecar/connections.go
+++ b/internal/sidecar/connections.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"container/list"
 	"context"
 	"errors"
@@ -9,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -42,6 +44,10 @@
 	blockedShare = 0.9
 	// pressureAge is how long a caller may be slow while others wait for memory.
 	pressureAge = time.Second
+	// slowAge is how long a caller may send its body below the least rate while new callers find no place.
+	slowAge = time.Second
+	// maxLeavingShare is the share of the places whose former connections may still be open. They use descriptors beyond the bound.
+	maxLeavingShare = 0.125
 	// maxEndedPerCheck bounds the callers without progress that are ended at a time to make room.
 	maxEndedPerCheck = 8
 	// lingerTime and lingerBytes bound what is read from a caller after a final response. Closing earlier may reset the connection
@@ -113,6 +119,8 @@
 	// head is what the current head holds; only for the goroutine of the connection.
 	head      memory.Hold
 	headBytes int64
+	// leaves is set while the connection counts in the table's leaving; under the table's lock.
+	leaves bool
 	// waiting is the entry in the table's list of idle connections; under the table's lock.
 	waiting *list.Element
 	// window holds the totals at the beginning of the current window; only for the check of progress.
@@ -204,17 +212,24 @@
 	}
 }
 
-// end makes the pending read or write of the connection fail.
+// end makes the pending read or write of the connection fail. It is called by the check of progress.
 func (c *callerConn) end(reason endReason) {
-	if !c.ended.CompareAndSwap(int32(notEnded), int32(reason)) {
+	if c.window.blockedRead {
+		c.endReading(reason)
 		return
 	}
-	c.lingers.Store(c.window.blockedRead)
-	if c.window.blockedRead {
+	if c.ended.CompareAndSwap(int32(notEnded), int32(reason)) {
+		c.lingers.Store(false)
+		_ = c.SetWriteDeadline(time.Unix(1, 0)) // A closed connection needs none.
+	}
+}
+
+// endReading makes the pending read of the connection fail, and lets the caller read the response.
+func (c *callerConn) endReading(reason endReason) {
+	if c.ended.CompareAndSwap(int32(notEnded), int32(reason)) {
+		c.lingers.Store(true)
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // A closed connection needs none.
-		return
 	}
-	_ = c.SetWriteDeadline(time.Unix(1, 0))
 }
 
 // callerConnOf returns the caller's connection of a request, nil if the listener does not track connections.
@@ -241,6 +256,10 @@
 	byAddress map[netip.Addr]int
 	// idle holds the connections without a whole head, the longest idle one first.
 	idle *list.List
+	// slow holds callers whose bodies have arrived below the least rate for slowAge or longer, the slowest first, as of the last check.
+	slow []*callerConn
+	// leaving is the number of connections that have given up their places and are not closed yet.
+	leaving int
 }
 
 func newConnTable(s *settings.Sidecar, account *memory.Account) *connTable {
@@ -294,7 +313,8 @@
 	}
 }
 
-// admit adds a connection. Beyond a bound it closes the longest idle one instead, and returns nil if there is none.
+// admit adds a connection. Beyond a bound the longest idle one is closed for it, or else the slowest caller is ended. It returns nil if there is
+// neither.
 func (t *connTable) admit(c net.Conn) *callerConn {
 	cc := &callerConn{Conn: c, table: t, head: memory.Hold{Account: t.account}}
 	if a, err := netip.ParseAddrPort(c.RemoteAddr().String()); err == nil {
@@ -306,14 +326,19 @@
 		t.refusedNew.Add(1)
 		return nil
 	}
-	if victim != nil {
+	switch {
+	case victim == nil:
+	case victim.leaves:
+		t.stalled.Add(1)
+		victim.endReading(endedStalled)
+	default:
 		t.closedIdle.Add(1)
 		_ = victim.Close() // It has no request.
 	}
 	return cc
 }
 
-// add adds the connection and returns the one that has to be closed for it, or false if it has no place.
+// add adds the connection and returns the one that has to be closed or ended for it, or false if it has no place.
 func (t *connTable) add(c *callerConn) (victim *callerConn, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -325,15 +350,18 @@
 				victim = other
 			}
 		}
+		if victim == nil {
+			victim = t.takeSlow(func(other *callerConn) bool { return other.address == c.address })
+		}
 		if victim == nil {
 			return nil, false
 		}
 	case len(t.conns) >= t.limit:
-		e := t.idle.Front()
-		if e == nil {
+		if e := t.idle.Front(); e != nil {
+			victim = e.Value.(*callerConn)
+		} else if victim = t.takeSlow(func(*callerConn) bool { return true }); victim == nil {
 			return nil, false
 		}
-		victim = e.Value.(*callerConn)
 	}
 	if victim != nil {
 		t.drop(victim)
@@ -345,6 +373,23 @@
 	return victim, true
 }
 
+// takeSlow returns the slowest caller that matches and marks it as leaving, or nil if there is none or too many are leaving. It needs the lock.
+func (t *connTable) takeSlow(matches func(*callerConn) bool) *callerConn {
+	if float64(t.leaving) >= max(1, maxLeavingShare*float64(t.limit)) {
+		return nil
+	}
+	for i, c := range t.slow {
+		if _, ok := t.conns[c]; !ok || c.leaves || c.waiting != nil || c.ended.Load() != int32(notEnded) || !c.bodyPending.Load() || !matches(c) {
+			continue
+		}
+		t.slow = slices.Delete(t.slow, i, i+1)
+		c.leaves = true
+		t.leaving++
+		return c
+	}
+	return nil
+}
+
 // drop removes the connection. It needs the lock.
 func (t *connTable) drop(c *callerConn) {
 	if _, ok := t.conns[c]; !ok {
@@ -372,6 +417,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.drop(c)
+	if c.leaves {
+		c.leaves = false
+		t.leaving--
+	}
 }
 
 // trackState follows the requests of a connection. It is called by the server's ConnState hook, on the goroutine of the connection.
@@ -471,6 +520,19 @@
 	if t.account.Pressed() {
 		t.makeRoom(now, conns)
 	}
+	t.findSlow(now, conns)
+}
+
+// findSlow records the callers that give way to new ones.
+func (t *connTable) findSlow(now int64, conns []*callerConn) {
+	slow := slices.DeleteFunc(conns, func(c *callerConn) bool {
+		w := &c.window
+		return !w.blockedRead || w.slowSince == 0 || time.Duration(now-w.slowSince) < slowAge || w.rate >= t.minRate
+	})
+	slices.SortFunc(slow, func(a, b *callerConn) int { return cmp.Compare(a.window.slowSince, b.window.slowSince) })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slow = slow
 }
 
 // makeRoom ends callers that the node has been waiting for and whose bytes would be held for longer than the window at their rate, the
--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -24,7 +24,8 @@
 func (c *addressedConn) RemoteAddr() net.Addr {
 	return net.TCPAddrFromAddrPort(netip.MustParseAddrPort(c.from + ":1"))
 }
-func (c *addressedConn) Close() error { c.closed = true; return nil }
+func (c *addressedConn) Close() error                    { c.closed = true; return nil }
+func (c *addressedConn) SetReadDeadline(time.Time) error { return nil }
 
 // Guards against connections that take the place of others, and against closing one that has a request.
 func TestLongestIdleConnectionGivesWay(t *testing.T) {
@@ -88,3 +89,51 @@
 	require.EqualValues(t, r.Cur, descriptorLimit(0))
 	require.Equal(t, 300, descriptorLimit(300), "a lower limit in the settings holds")
 }
+
+// Guards against a crowd of callers whose bodies don't arrive, which keeps all places from ordinary callers until its window of 10 s is over.
+func TestSlowestCallerGivesWay(t *testing.T) {
+	const second = int64(time.Second)
+	table := newConnTable(&settings.Sidecar{MaxFDs: reservedFDs + 32}, memory.NewAccount(0)) // 16 connections, 12 of one address, 2 leaving.
+	var crowd []*callerConn
+	for i := range 16 {
+		c := table.admit(&addressedConn{from: []string{"127.0.0.1", "127.0.0.2"}[i%2]})
+		require.NotNil(t, c)
+		table.setIdle(c, false)
+		c.bodyPending.Store(true)
+		c.read.since.Store(second)
+		crowd = append(crowd, c)
+	}
+	admit := func() *callerConn { return table.admit(&addressedConn{from: "127.0.0.3"}) }
+	table.check(2*second, false)
+	require.Nil(t, admit(), "no caller has been slow for long")
+	crowd[3].read.bytes.Add(1 << 20)
+	table.check(2*second+second/2, false)
+	table.check(3*second, false)
+	require.NotNil(t, admit())
+	ended := func() (n int) {
+		for _, c := range crowd {
+			if c.ended.Load() == int32(endedStalled) {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 1, ended())
+	for c := range table.conns {
+		table.setIdle(c, false)
+	}
+	require.NotNil(t, admit())
+	require.Equal(t, 2, ended())
+	require.Zero(t, crowd[3].ended.Load(), "it is not slow")
+	for c := range table.conns {
+		table.setIdle(c, false)
+	}
+	require.Nil(t, admit(), "the descriptors of those that leave are bounded")
+	for _, c := range crowd {
+		if c.ended.Load() != 0 {
+			require.NoError(t, c.Conn.Close())
+			table.remove(c)
+		}
+	}
+	require.NotNil(t, admit())
+}
--- a/internal/sidecar/processtest/callers_test.go
+++ b/internal/sidecar/processtest/callers_test.go
@@ -187,3 +187,60 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// Guards against a crowd of callers whose bodies stop short: they take all places, come again when they are ended, and shut ordinary callers out. Each
+// ordinary request is tried again for up to 3 s, as its caller would.
+func TestCrowdOfSlowCallers(t *testing.T) {
+	const (
+		crowd    = 3 * maxFDs / 4 // Four times as many as one address has places.
+		ordinary = 40
+		patience = 3 * time.Second
+	)
+	r := startRig(t)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for range crowd {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c, err := net.DialTimeout("tcp", r.pooled.entrance, time.Second)
+				if err != nil {
+					time.Sleep(100 * time.Millisecond)
+					continue
+				}
+				_, _ = fmt.Fprintf(c, "POST /p/slow HTTP/1.1\r\nHost: %s\r\nRequest-Id: slow-%p\r\nDeadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n40\r\n%060d", standin.Host, c, 0) // The node may have closed it.
+				_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+				_, _ = io.Copy(io.Discard, c) // Until the node ends it.
+				_ = c.Close()
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	answered := 0
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for i := range ordinary {
+		for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			request, _ := http.NewRequest(http.MethodGet, "http://"+r.pooled.entrance+"/p/ordinary", nil)
+			request.Host, request.Header = standin.Host, standin.KeyedHeader(fmt.Sprintf("ordinary-%d-%d", i, time.Now().UnixNano()), 1)
+			response, err := client.Do(request)
+			if err != nil {
+				continue
+			}
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				answered++
+				break
+			}
+		}
+	}
+	close(stop)
+	require.Equal(t, ordinary, answered)
+	r.checkWithinLimits()
+	_ = r.pooled.cmd.Process.Kill() // Ends the crowd.
+	wg.Wait()
+}
