--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -118,6 +118,7 @@
 
 // Guards against nodes that ignore what the operator writes after the store came back from a copy, because its revisions are lower than before.
 func TestOperatorObjectsTakeEffectAfterARestore(t *testing.T) {
+	t.Parallel()
 	r := newTestFleet(t, 3)
 	copied := r.store.Copy()
 	r.store.Evacuate("y")
@@ -177,6 +178,7 @@
 
 // Guards against a node that starts after the store came back from an older copy, and takes the older configuration for the later one.
 func TestOlderConfigurationOfACopyIsReplaced(t *testing.T) {
+	t.Parallel()
 	r := newTestFleet(t, 3)
 	copied := r.store.Copy()
 	r.store.Configure(standin.Configuration(2, "q"))
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -11,6 +11,7 @@
 
 // Guards against keys that stay without an owner when a target crashes after the store came back from a copy.
 func TestKeysAreTakenOverAfterARestore(t *testing.T) {
+	t.Parallel()
 	const ordinaryLoss = 3 * time.Second // as for the keys of a crashed target in TestFleet
 	r := newTestFleet(t, 3)
 	copied := r.store.Copy()
