Shorten the delay of campaigns once the fleet runs

Cause: the random delay before a campaign is three times as long in a fleet that starts for the first time. It was drawn at the start and kept until the node's next campaign.

Change: the first poll after which the fleet has tables draws it anew.

--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -23,6 +23,8 @@
 	lastPoll   fleet.Poll
 	startedAt  clock.Instant
 	jitter     time.Duration
+	// firstElection is set if jitter is that of a fleet which starts for the first time.
+	firstElection bool
 	// campaignEnded is when the last lost campaign ended. It delays the next campaign, but does not count as a poll.
 	campaignEnded clock.Instant
 	// fetchingConfig is set while a read of the configuration is in progress.
@@ -153,6 +155,9 @@
 	if p.View != nil {
 		c.mergeView(now, p.View)
 	}
+	if c.firstElection && !c.state.startsFleet() {
+		c.jitter = c.newElectionJitter()
+	}
 	if !c.needsFullView {
 		c.viewSequence, c.viewRound = p.ViewSequence, p.Epoch
 	}
--- a/internal/sidecar/lead.go
+++ b/internal/sidecar/lead.go
@@ -18,7 +18,7 @@
 // which the polls of a leader would take up a large part of the bandwidth.
 func (c *coordinator) newElectionJitter() time.Duration {
 	factor := rand.Float64()
-	if c.state.startsFleet() {
+	if c.firstElection = c.state.startsFleet(); c.firstElection {
 		factor *= firstElectionSpread
 	}
 	if mbps := c.settings.LinkMbps; mbps > 0 {
--- a/internal/sidecar/view_test.go
+++ b/internal/sidecar/view_test.go
@@ -135,3 +135,16 @@
 		require.Equal(t, polledAgain, node.pollPending, "the node reports version %d", reported)
 	}
 }
+
+// Guards against a node that waits for its first campaign as in a fleet that starts for the first time, long after that has started: its keys wait with
+// it when the leader is lost.
+func TestElectionDelayShrinksOnceTheFleetRuns(t *testing.T) {
+	for range 20 {
+		c := newIdleNode(t).coordinator
+		c.jitter = firstElectionSpread * electionJitter
+		v := fleet.NewView()
+		v.Tables["s"] = &fleet.Table{Version: 4}
+		c.handlePoll(c.clock.Now(), &fleet.Poll{Coordinator: "leader", Epoch: 1, View: v})
+		require.LessOrEqual(t, c.jitter, electionJitter)
+	}
+}
