--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -437,6 +437,9 @@
 // observeRecord applies a record that was read from the store by a call sent at the instant.
 func (m *member) observeRecord(t *fleet.Target, sent clock.Instant) {
 	m.holder.ObserveIncarnation(m.clock.Now(), t.StartTimeMs, t.State == fleet.Down)
+	if t.State == fleet.Down && m.storeEra == 0 { // After a drill the leader may have written an earlier record again.
+		m.holder.EndEarlierGrants(m.clock.Now())
+	}
 	m.markRecordKnown(m.clock.Now())
 	if t.Leaves() {
 		m.adoptDeparture(m.clock.Now(), t.Departure())
@@ -466,9 +469,15 @@
 		m.holder.Revoke() // Nothing may be granted in a term whose record says that the target is down.
 	}
 	condition := m.condition(want.Version)
+	createsTerm := m.record == nil || want.Term > m.record.Term
 	m.runAsync(func(ctx context.Context) func(clock.Instant) {
 		version, err := m.store.Put(ctx, fleet.Kind, fleet.TargetName(want.Host), want.Encode(), condition)
-		return func(after clock.Instant) { m.handleWritten(after, now, want, version, err) }
+		return func(after clock.Instant) {
+			if err == nil && createsTerm {
+				m.holder.CreateTerm(want.Owner())
+			}
+			m.handleWritten(after, now, want, version, err)
+		}
 	})
 }
 
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -102,6 +102,10 @@
 	unbroken bool
 	// grantsEnd is when the last grant of the term has certainly expired, earlierGrantsEnd when those of earlier processes have.
 	grantsEnd, earlierGrantsEnd clock.Instant
+	// unlistedUntil is until when the target may hold ranges that its heartbeats don't list: an earlier process may have granted them after
+	// the heartbeats were sent. It does not apply to createdTerm, the latest term that this process has created.
+	unlistedUntil clock.Instant
+	createdTerm   keyspace.Owner
 	// grantedRows holds the rows of the latest grant, grantedSequence the sequence number of the
 	// heartbeat that it answered.
 	grantedRows     []keyspace.Row
@@ -115,7 +119,7 @@
 func NewTargetLease(now clock.Instant, options Options) *TargetLease {
 	l := &TargetLease{options: options, formerHeardAt: now}
 	l.earlierGrantsEnd = l.holdEnd(now, options.HoldDuration)
-	l.grantsEnd = l.earlierGrantsEnd
+	l.grantsEnd, l.unlistedUntil = l.earlierGrantsEnd, l.earlierGrantsEnd
 	return l
 }
 
@@ -124,6 +128,24 @@
 	return now.Add(time.Duration(float64(hold)*(1+maxClockDrift)) + holdEndMargin)
 }
 
+// CreateTerm records that this process has created the term in the store. Earlier processes have granted nothing under it.
+func (l *TargetLease) CreateTerm(owner keyspace.Owner) { l.createdTerm = owner }
+
+// EndEarlierGrants records that the store shows that earlier processes have no grants left: the record was read after the start of this
+// process and says that the target is down.
+func (l *TargetLease) EndEarlierGrants(now clock.Instant) {
+	if !l.owner.IsZero() {
+		return
+	}
+	l.grantsEnd, l.unlistedUntil = min(l.grantsEnd, now), min(l.unlistedUntil, now)
+}
+
+// mayHoldUnlisted reports whether the target may hold ranges that its heartbeats don't list. A heartbeat that arrives first in a new process,
+// or with a higher sequence number than another one, may have been sent before the last grant of the earlier process.
+func (l *TargetLease) mayHoldUnlisted(now clock.Instant) bool {
+	return (l.owner.IsZero() || l.owner != l.createdTerm) && now < l.unlistedUntil
+}
+
 // Begin starts or continues a term for an incarnation of the target. The caller must have verified
 // that the record in the store names the term; confirmedAt is when it sent the call that showed this.
 func (l *TargetLease) Begin(now clock.Instant, owner keyspace.Owner, startTimeMs int64, confirmedAt clock.Instant) {
@@ -228,7 +250,7 @@
 	if len(l.releases) > maxReleases {
 		l.releases = l.releases[len(l.releases)-maxReleases:]
 	}
-	if len(b.HeldRanges) == 0 && (b.StartTimeMs == l.startTimeMs || l.owner.IsZero() && onlyIncarnation) && b.Sequence > l.grantedSequence {
+	if len(b.HeldRanges) == 0 && (b.StartTimeMs == l.startTimeMs || l.owner.IsZero() && onlyIncarnation) && b.Sequence > l.grantedSequence && !l.mayHoldUnlisted(now) {
 		l.grantsEnd = min(l.grantsEnd, now)
 	}
 }
@@ -299,7 +321,7 @@
 
 // RecordExit records that the target's process has exited, which ends its holds.
 func (l *TargetLease) RecordExit(now clock.Instant) {
-	l.grantsEnd = min(l.grantsEnd, now)
+	l.grantsEnd, l.unlistedUntil = min(l.grantsEnd, now), min(l.unlistedUntil, now)
 	l.grantedRows = nil
 	l.exited = true
 }
@@ -336,6 +358,9 @@
 	if now >= l.grantsEnd {
 		return false
 	}
+	if l.mayHoldUnlisted(now) {
+		return true
+	}
 	for _, g := range l.grantedRows {
 		if g.Overlaps(r) {
 			return true
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -29,7 +29,16 @@
 	return keyspace.Row{Range: keyspace.Range{From: from, To: to}, Owner: owner, Fence: 5, NextOwner: next}
 }
 
+// newStartedLease returns a lease whose term this process has created.
 func newStartedLease() *TargetLease {
+	l := NewTargetLease(at(0), options)
+	l.CreateTerm(ownOwner)
+	l.Begin(at(0), ownOwner, 77, at(0))
+	return l
+}
+
+// newContinuedLease returns a lease whose term an earlier process has created.
+func newContinuedLease() *TargetLease {
 	l := NewTargetLease(at(0), options)
 	l.Begin(at(0), ownOwner, 77, at(0))
 	return l
@@ -107,15 +116,42 @@
 	require.Len(t, l.Released(at(3.65), moving), 1, "the hold of an earlier process has expired, including 2% clock drift and the margin")
 }
 
-// Guards against a restarted node that ignores the grants of its earlier process.
+// Guards against a restarted node that ignores the grants of its earlier process, because a heartbeat that was sent before them arrives late.
+// Neither the first heartbeat nor one with a higher sequence number tells what the target holds.
 func TestContinuedTermCountsEarlierGrants(t *testing.T) {
-	l := newStartedLease()
+	held := HeldRange{keyspace.Range{From: 0, To: 9}, 5}
+	other := HeldRange{keyspace.Range{From: 20, To: 29}, 4}
 	moving := []keyspace.Row{row(0, 9, ownOwner, otherOwner)}
-	require.Empty(t, l.Released(at(0.1), moving), "no heartbeat yet")
-	l.RecordHeartbeat(at(0.2), heartbeat(9, HeldRange{keyspace.Range{From: 0, To: 9}, 5}))
-	require.Empty(t, l.Released(at(0.2), moving))
-	l.RecordHeartbeat(at(0.4), heartbeat(10))
-	require.Len(t, l.Released(at(0.4), moving), 1)
+	for name, late := range map[string][]*Heartbeat{
+		"none":                        {},
+		"one, empty":                  {heartbeat(9)},
+		"two, empty":                  {heartbeat(9), heartbeat(10)},
+		"one with ranges, then empty": {heartbeat(9, held), heartbeat(10)},
+		"with other ranges":           {heartbeat(9, other), heartbeat(10, other)},
+	} {
+		l := newContinuedLease()
+		for i, h := range late {
+			now := at(0.2 + float64(i)/5)
+			l.RecordHeartbeat(now, h)
+			require.Empty(t, l.Released(now, moving), name)
+			l.Grant(now, moving)
+		}
+		require.Empty(t, l.Released(at(3.5), moving), name)
+		require.False(t, l.GrantsEnded(at(3.5)), name)
+		l.RecordHeartbeat(at(3.65), heartbeat(11))
+		require.Len(t, l.Released(at(3.65), moving), 1, "%s: the holds of an earlier process have expired, including 2%% clock drift and the margin", name)
+		require.True(t, l.GrantsEnded(at(3.65)), name)
+	}
+}
+
+// Guards against a restarted node that starts another term while its target holds ranges of the earlier process, because a late heartbeat lists none.
+func TestNewProcessAssumesHoldsAfterALateEmptyHeartbeat(t *testing.T) {
+	l := NewTargetLease(at(0), options)
+	l.ObserveIncarnation(at(0), 77, false)
+	l.RecordHeartbeat(at(0.1), heartbeat(9))
+	l.RecordHeartbeat(at(0.2), heartbeat(10))
+	require.False(t, l.GrantsEnded(at(3.5)))
+	require.True(t, l.GrantsEnded(at(3.65)))
 }
 
 // A confirmation by the coordinator counts from the report that it answers, and is limited by the
@@ -244,5 +280,7 @@
 	exited := NewTargetLease(start, Options{LeaseDuration: 4 * time.Second, HoldDuration: 3 * time.Second})
 	exited.ObserveIncarnation(start, 7, true)
 	exited.RecordHeartbeat(start, empty)
-	require.True(t, exited.GrantsEnded(start))
+	require.False(t, exited.GrantsEnded(start), "the record may be an old one, from another node")
+	exited.EndEarlierGrants(start)
+	require.True(t, exited.GrantsEnded(start), "it was read from the store")
 }
