--- a/internal/event/sidecar.go
+++ b/internal/event/sidecar.go
@@ -61,6 +61,8 @@
 	QuarantineBegan      = register(Event{6053, log.ErrorLevel, "request is quarantined because it crashes targets", "Find its caller and correct the target."})
 	StoreRestored        = register(Event{6058, log.WarnLevel, "the store came back from a copy; what it acknowledged since the copy is lost there", "Write the configuration and the evacuations again if they are older in the store than before."})
 	ProcessSuspended     = register(Event{6064, log.WarnLevel, "the process was suspended; the silence of other nodes in that time is not held against them", "If it happens again, check the host's load and its hypervisor."})
+	EarlierGrantsKnown   = register(Event{6065, log.InfoLevel, "the target has listed the ranges that an earlier process of the node granted", ""})
+	ProcessAddressInUse  = register(Event{6066, log.WarnLevel, "the address of this process for heartbeats is in use; after its start the node waits until earlier grants have expired", "Free TCP ports 20000 to 28191 on this host if restarts delay the moves of ranges."})
 	TargetExitUnproven   = register(Event{6063, log.InfoLevel, "the target refuses connections and may still work on requests; its ranges stay with it", ""})
 	TakeoverCompleted    = register(Event{6060, log.InfoLevel, "the leader knows all tables of earlier eras of the store, and writes and changes tables", ""})
 	DepartureUncertain   = register(Event{6061, log.WarnLevel, "the process started in an outage of the store; the target is not used until its departure can't have been forgotten", "Nothing, unless it lasts: then check that a leader polls this node."})
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -75,6 +75,8 @@
 	connectionBroken bool
 	// exitUnproven is set while the target refuses connections and may still work.
 	exitUnproven bool
+	// ownAddress is where heartbeats arrive that the target sent after an answer of this process.
+	ownAddress processAddress
 	// earlierRunsEnd is when requests that an earlier process sent have ended with the holds that it granted.
 	earlierRunsEnd     clock.Instant
 	probing            bool
@@ -97,6 +99,7 @@
 	reply := make(chan tenure.Grant, 1)
 	ok := m.post(func(now clock.Instant) {
 		grant := m.handleHeartbeat(now, b)
+		grant.HeartbeatAddress = m.nextHeartbeatAddress(now, b)
 		m.acknowledge(now, b, func() { reply <- grant })
 	})
 	if ok {
@@ -153,7 +156,11 @@
 		m.departures.add(now, []fleet.Departure{m.departed}, m.state.view.Load())
 	}
 	m.targetExited, m.connectionBroken, m.exitUnproven = false, false, false
+	unlisted := m.holder.MayHoldUnlisted(now)
 	m.holder.RecordHeartbeat(now, b)
+	if unlisted && !m.holder.MayHoldUnlisted(now) {
+		event.EarlierGrantsKnown.On(m.log).Str("instance", b.Instance).Int("ranges", len(b.HeldRanges)).Str("waited", now.Sub(m.startedAt).Round(time.Millisecond).String()).Send()
+	}
 	m.gate.dispatch.Update(func(now clock.Instant, core *dispatch.Scheduler) {
 		core.SetSlots(b.Slots)
 		core.SetColdUntil(now, now.Add(b.ColdRemaining))
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -73,9 +73,9 @@
 
 // servers are the HTTP servers of the node.
 type servers struct {
-	entrance, readiness, heartbeats, metrics *http.Server
-	entranceListener                         *entranceListener
-	failed                                   chan error
+	entrance, readiness, heartbeats, ownHeartbeats, metrics *http.Server
+	entranceListener                                        *entranceListener
+	failed                                                  chan error
 	// cancelRequests cancels the pending requests of the entrance.
 	cancelRequests context.CancelCauseFunc
 }
@@ -124,7 +124,9 @@
 	metrics.HandleFunc("GET "+decision.Path, n.entrance.explainDecision)
 	s.initEntrance(n.protectHandler("entrance", n.entrance))
 	s.readiness = newHTTPServer(readiness)
-	s.heartbeats, s.metrics = newHTTPServer(n.protectHandler("heartbeats", platform.HeartbeatHandler(n.member))), newHTTPServer(n.protectHandler("metrics", metrics))
+	s.ownHeartbeats = newHTTPServer(n.protectHandler("heartbeats", platform.HeartbeatHandler(n.member, true)))
+	s.ownHeartbeats.ErrorLog = stdlog.New(io.Discard, "", 0)
+	s.heartbeats, s.metrics = newHTTPServer(n.protectHandler("heartbeats", platform.HeartbeatHandler(n.member, false))), newHTTPServer(n.protectHandler("metrics", metrics))
 	trackIdle := trackHeads(n.entrance.idle.trackState)
 	s.entrance.ConnState = func(c net.Conn, state http.ConnState) {
 		trackIdle(c, state)
@@ -154,6 +156,7 @@
 			}
 		}()
 	}
+	n.listenForOwnHeartbeats(s.ownHeartbeats)
 	return s, nil
 }
 
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -66,7 +66,7 @@
 	if entranceErr != nil {
 		entranceErr = n.finishRequests(ctx, s)
 	}
-	for _, server := range []*http.Server{s.heartbeats, s.readiness, s.metrics} {
+	for _, server := range []*http.Server{s.heartbeats, s.ownHeartbeats, s.readiness, s.metrics} {
 		_ = server.Close() // Their clients retry.
 	}
 	line := event.SidecarStopped.On(n.log)
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -48,6 +48,9 @@
 	HeldRanges []HeldRange
 	// Released lists the ranges that the target has released since its last acknowledged heartbeat.
 	Released []fleet.Release
+	// AfterAnswer is set if the target sent the heartbeat after it had received an answer of this process. Then the heartbeat lists all that earlier
+	// processes granted and the target still holds.
+	AfterAnswer bool
 }
 
 // HeldRange is a range that the target holds, with its fencing token.
@@ -65,6 +68,8 @@
 	OmittedRows int
 	// HoldDuration counts from when the target sent the heartbeat.
 	HoldDuration time.Duration
+	// HeartbeatAddress is where the target is to send its later heartbeats, empty if that does not change.
+	HeartbeatAddress string
 }
 
 // Options configures a TargetLease.
@@ -140,9 +145,9 @@
 	l.grantsEnd, l.unlistedUntil = min(l.grantsEnd, now), min(l.unlistedUntil, now)
 }
 
-// mayHoldUnlisted reports whether the target may hold ranges that its heartbeats don't list. A heartbeat that arrives first in a new process,
+// MayHoldUnlisted reports whether the target may hold ranges that its heartbeats don't list. A heartbeat that arrives first in a new process,
 // or with a higher sequence number than another one, may have been sent before the last grant of the earlier process.
-func (l *TargetLease) mayHoldUnlisted(now clock.Instant) bool {
+func (l *TargetLease) MayHoldUnlisted(now clock.Instant) bool {
 	return (l.owner.IsZero() || l.owner != l.createdTerm) && now < l.unlistedUntil
 }
 
@@ -241,6 +246,9 @@
 	if b.StartTimeMs != l.lastHeartbeat.StartTimeMs {
 		l.releases = nil
 	}
+	if b.AfterAnswer {
+		l.unlistedUntil = min(l.unlistedUntil, now)
+	}
 	l.lastHeartbeat, l.lastHeartbeatAt = *b, now
 	l.knownStartTimeMs, l.knownAt, l.exited = b.StartTimeMs, now, false
 	if b.Draining {
@@ -250,7 +258,7 @@
 	if len(l.releases) > maxReleases {
 		l.releases = l.releases[len(l.releases)-maxReleases:]
 	}
-	if len(b.HeldRanges) == 0 && (b.StartTimeMs == l.startTimeMs || l.owner.IsZero() && onlyIncarnation) && b.Sequence > l.grantedSequence && !l.mayHoldUnlisted(now) {
+	if len(b.HeldRanges) == 0 && (b.StartTimeMs == l.startTimeMs || l.owner.IsZero() && onlyIncarnation) && b.Sequence > l.grantedSequence && !l.MayHoldUnlisted(now) {
 		l.grantsEnd = min(l.grantsEnd, now)
 	}
 }
@@ -358,7 +366,7 @@
 	if now >= l.grantsEnd {
 		return false
 	}
-	if l.mayHoldUnlisted(now) {
+	if l.MayHoldUnlisted(now) {
 		return true
 	}
 	for _, g := range l.grantedRows {
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -144,6 +144,30 @@
 	}
 }
 
+// A heartbeat that the target sent after an answer of this process tells what it holds.
+func TestHeartbeatAfterAnAnswerListsEarlierGrants(t *testing.T) {
+	moving := []keyspace.Row{row(0, 9, ownOwner, otherOwner)}
+	after := func(sequence uint64, holds ...HeldRange) *Heartbeat {
+		h := heartbeat(sequence, holds...)
+		h.AfterAnswer = true
+		return h
+	}
+	l := newContinuedLease()
+	l.RecordHeartbeat(at(0.1), heartbeat(9))
+	require.Empty(t, l.Released(at(0.1), moving))
+	l.RecordHeartbeat(at(0.2), after(12, HeldRange{keyspace.Range{From: 0, To: 9}, 5}))
+	require.Empty(t, l.Released(at(0.2), moving), "it still holds the row")
+	require.False(t, l.GrantsEnded(at(0.2)))
+	l.RecordHeartbeat(at(0.3), after(13))
+	require.Len(t, l.Released(at(0.3), moving), 1)
+	require.True(t, l.GrantsEnded(at(0.3)))
+
+	l = NewTargetLease(at(0), options)
+	l.RecordHeartbeat(at(0.1), after(3))
+	l.ObserveIncarnation(at(0.2), 70, false)
+	require.False(t, l.GrantsEnded(at(0.2)), "it says nothing of the incarnation in the record")
+}
+
 // Guards against a restarted node that starts another term while its target holds ranges of the earlier process, because a late heartbeat lists none.
 func TestNewProcessAssumesHoldsAfterALateEmptyHeartbeat(t *testing.T) {
 	l := NewTargetLease(at(0), options)
