--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -8,6 +8,7 @@
 package tenure
 
 import (
+	"slices"
 	"time"
 
 	"github.com/citronvane/citronvane/internal/clock"
@@ -115,8 +116,12 @@
 	// heartbeat that it answered.
 	grantedRows     []keyspace.Row
 	grantedSequence uint64
-	releases        []fleet.Release
-	draining        bool
+	// releases holds the ranges that the target has released and not been granted since, with their handover tokens. Until
+	// lateHeartbeatsUntil they may be those of an earlier possession, if an earlier process granted the ranges again; then
+	// unprovenReleases holds those of the last heartbeat.
+	releases, unprovenReleases []fleet.Release
+	lateHeartbeatsUntil        clock.Instant
+	draining                   bool
 }
 
 // NewTargetLease returns a lease without a term. Grants of an earlier process are not known, so the
@@ -124,7 +129,7 @@
 func NewTargetLease(now clock.Instant, options Options) *TargetLease {
 	l := &TargetLease{options: options, formerHeardAt: now}
 	l.earlierGrantsEnd = l.holdEnd(now, options.HoldDuration)
-	l.grantsEnd, l.unlistedUntil = l.earlierGrantsEnd, l.earlierGrantsEnd
+	l.grantsEnd, l.unlistedUntil, l.lateHeartbeatsUntil = l.earlierGrantsEnd, l.earlierGrantsEnd, now.Add(lateHeartbeatWindow)
 	return l
 }
 
@@ -155,7 +160,7 @@
 // that the record in the store names the term; confirmedAt is when it sent the call that showed this.
 func (l *TargetLease) Begin(now clock.Instant, owner keyspace.Owner, startTimeMs int64, confirmedAt clock.Instant) {
 	if l.owner != owner {
-		l.grantedRows, l.releases, l.grantedSequence, l.draining = nil, nil, 0, false
+		l.grantedRows, l.releases, l.unprovenReleases, l.grantedSequence, l.draining = nil, nil, nil, 0, false
 		l.grantsEnd = max(l.grantsEnd, l.holdEnd(now, l.options.HoldDuration))
 	}
 	l.owner, l.startTimeMs = owner, startTimeMs
@@ -222,7 +227,7 @@
 	}
 	l.knownStartTimeMs, l.knownAt, l.exited = startTimeMs, now, exited
 	if !exited && l.lastHeartbeat.StartTimeMs < startTimeMs {
-		l.lastHeartbeat, l.lastHeartbeatAt, l.releases = Heartbeat{}, 0, nil
+		l.lastHeartbeat, l.lastHeartbeatAt, l.releases, l.unprovenReleases = Heartbeat{}, 0, nil, nil
 	}
 }
 
@@ -244,25 +249,48 @@
 	}
 	onlyIncarnation := l.knownStartTimeMs == 0 || l.knownStartTimeMs == b.StartTimeMs || l.exited
 	if b.StartTimeMs != l.lastHeartbeat.StartTimeMs {
-		l.releases = nil
+		l.releases, l.unprovenReleases = nil, nil
 	}
 	if b.AfterAnswer {
-		l.unlistedUntil = min(l.unlistedUntil, now)
+		l.unlistedUntil, l.lateHeartbeatsUntil = min(l.unlistedUntil, now), min(l.lateHeartbeatsUntil, now)
 	}
 	l.lastHeartbeat, l.lastHeartbeatAt = *b, now
 	l.knownStartTimeMs, l.knownAt, l.exited = b.StartTimeMs, now, false
 	if b.Draining {
 		l.draining = true
 	}
-	l.releases = append(l.releases, b.Released...)
-	if len(l.releases) > maxReleases {
-		l.releases = l.releases[len(l.releases)-maxReleases:]
-	}
+	l.recordReleases(now, b)
 	if len(b.HeldRanges) == 0 && (b.StartTimeMs == l.startTimeMs || l.owner.IsZero() && onlyIncarnation) && b.Sequence > l.grantedSequence && !l.MayHoldUnlisted(now) {
 		l.grantsEnd = min(l.grantsEnd, now)
 	}
 }
 
+// recordReleases records the ranges that the target has released. The heartbeat before the first one that follows an answer of this process is the
+// one that was answered in time, so that its releases are as recent.
+func (l *TargetLease) recordReleases(now clock.Instant, b *Heartbeat) {
+	if l.owner != l.createdTerm && now < l.lateHeartbeatsUntil {
+		l.unprovenReleases = lastReleases(b.Released)
+		return
+	}
+	if b.AfterAnswer {
+		l.releases = append(l.releases, l.unprovenReleases...)
+	}
+	l.unprovenReleases = nil
+	l.releases = lastReleases(append(l.releases, b.Released...))
+}
+
+func lastReleases(releases []fleet.Release) []fleet.Release {
+	return releases[max(0, len(releases)-maxReleases):]
+}
+
+// forgetReleases drops the releases of ranges that the target is granted again. Their tokens are those of the earlier possession.
+func (l *TargetLease) forgetReleases(rows []keyspace.Row) {
+	granted := func(r fleet.Release) bool {
+		return slices.ContainsFunc(rows, func(row keyspace.Row) bool { return row.Overlaps(r.Range) })
+	}
+	l.releases, l.unprovenReleases = slices.DeleteFunc(l.releases, granted), slices.DeleteFunc(l.unprovenReleases, granted)
+}
+
 // maxReleases bounds the released ranges that are kept until their rows have moved.
 const maxReleases = 256
 
@@ -299,6 +327,7 @@
 		grant.Rows = append(grant.Rows, r)
 	}
 	l.grantedRows, l.grantedSequence = grant.Rows, l.lastHeartbeat.Sequence
+	l.forgetReleases(grant.Rows)
 	if len(grant.Rows) > 0 {
 		l.grantsEnd = max(l.grantsEnd, l.holdEnd(now, hold))
 	}
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -168,6 +168,58 @@
 	require.False(t, l.GrantsEnded(at(0.2)), "it says nothing of the incarnation in the record")
 }
 
+// Guards against a handover token of an earlier possession of a range, with which the next owner takes its state for warm.
+func TestHandoverTokenIsOfTheLastPossession(t *testing.T) {
+	held := HeldRange{keyspace.Range{From: 0, To: 9}, 5}
+	mine, moving := []keyspace.Row{row(0, 9, ownOwner, keyspace.Owner{})}, []keyspace.Row{row(0, 9, ownOwner, otherOwner)}
+	releasing := func(sequence uint64, from, to int, token string) *Heartbeat {
+		h := heartbeat(sequence)
+		h.Released = []fleet.Release{{Range: keyspace.Range{From: from, To: to}, Handover: token}}
+		return h
+	}
+	token := func(t *testing.T, l *TargetLease, now clock.Instant) string {
+		released := l.Released(now, moving)
+		require.Len(t, released, 1)
+		return released[0].Handover
+	}
+	t.Run("the range comes back and moves again", func(t *testing.T) {
+		l := newStartedLease()
+		l.RecordHeartbeat(at(0), releasing(1, 0, 99, "earlier"))
+		l.Grant(at(0), mine)
+		l.RecordHeartbeat(at(0.2), heartbeat(2, held))
+		l.Grant(at(0.2), moving)
+		l.RecordHeartbeat(at(0.3), heartbeat(3))
+		require.Empty(t, token(t, l, at(0.3)))
+	})
+	t.Run("a late heartbeat arrives first in a new process", func(t *testing.T) {
+		l := newContinuedLease()
+		l.RecordHeartbeat(at(0.1), releasing(1, 0, 9, "earlier"))
+		l.RecordHeartbeat(at(0.2), heartbeat(8, held))
+		l.Grant(at(0.2), moving)
+		after := releasing(9, 0, 9, "last")
+		after.AfterAnswer = true
+		l.RecordHeartbeat(at(0.3), after)
+		require.Equal(t, "last", token(t, l, at(0.3)))
+	})
+	t.Run("the target has released it for the earlier process", func(t *testing.T) {
+		l := newContinuedLease()
+		l.RecordHeartbeat(at(0.2), releasing(8, 0, 9, "last"))
+		l.Grant(at(0.2), moving)
+		after := heartbeat(9)
+		after.AfterAnswer = true
+		l.RecordHeartbeat(at(0.3), after)
+		require.Equal(t, "last", token(t, l, at(0.3)))
+	})
+	t.Run("the target does not follow answers", func(t *testing.T) {
+		l := newContinuedLease()
+		l.RecordHeartbeat(at(0.2), releasing(1, 0, 9, "earlier"))
+		l.RecordHeartbeat(at(4), heartbeat(2))
+		require.Empty(t, token(t, l, at(4)), "the token may be an earlier one")
+		l.RecordHeartbeat(at(13), releasing(3, 0, 9, "last"))
+		require.Equal(t, "last", token(t, l, at(13)), "no heartbeat is that late")
+	})
+}
+
 // Guards against a restarted node that starts another term while its target holds ranges of the earlier process, because a late heartbeat lists none.
 func TestNewProcessAssumesHoldsAfterALateEmptyHeartbeat(t *testing.T) {
 	l := NewTargetLease(at(0), options)
