--- a/internal/sidecar/restart_test.go
+++ b/internal/sidecar/restart_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/citronvane/citronvane/internal/clock"
 	"github.com/citronvane/citronvane/internal/fleet"
+	"github.com/citronvane/citronvane/internal/keyspace"
 	"github.com/citronvane/citronvane/internal/store"
 	"github.com/citronvane/citronvane/internal/tenure"
 )
@@ -160,3 +161,49 @@
 		require.Equal(t, "i-1", last.Instance, "the later incarnation is known to have exited")
 	})
 }
+
+// Guards against ranges that are reported as released because a term has ended in memory only: the write of its end is lost, and the next process
+// of the node grants them again under the same fencing tokens while another owner gets them.
+func TestTermThatEndsInMemoryReleasesNothing(t *testing.T) {
+	serving := fleet.Target{Host: "10.0.0.1", Relay: "10.0.0.1:1", Service: "s", Instance: "i", StartTimeMs: 7, Term: 3, State: fleet.Serving, Slots: 18}
+	view := fleet.NewView()
+	view.Tables["s"] = &fleet.Table{Version: 4, Table: keyspace.Table{Fence: 5, Rows: []keyspace.Row{{Range: keyspace.Range{From: 0, To: 9}, Owner: serving.Owner(), Fence: 5}}}}
+	start := func() (*member, clock.Instant) {
+		n := newIdleNode(t)
+		n.settings.Host = serving.Host
+		n.state.view.Store(view)
+		n.state.viewLoaded.Store(true)
+		now := n.clock.Now()
+		n.member.handleRead(now, now, store.Object{Name: fleet.TargetName(serving.Host), Version: 5, Value: serving.Encode()}, nil)
+		return n.member, now
+	}
+	heartbeat := func(sequence uint64) *tenure.Heartbeat {
+		return &tenure.Heartbeat{Instance: "i", StartTimeMs: 7, Sequence: sequence, Service: "s", Slots: 18}
+	}
+	for name, end := range map[string]func(m *member, now clock.Instant) fleet.State{
+		"the target exits": func(m *member, now clock.Instant) fleet.State {
+			m.targetExited = true
+			m.holder.RecordExit(now)
+			m.holder.Revoke()
+			return fleet.Down
+		},
+		"the target leaves": func(m *member, now clock.Instant) fleet.State {
+			m.depart(now, fleet.Departure{Host: serving.Host, Instance: "i", StartTimeMs: 7})
+			return fleet.Leaving
+		},
+	} {
+		m, now := start()
+		m.handleHeartbeat(now, heartbeat(20))
+		state := end(m, now)
+		after := m.holder.GrantsEnd() // All holds have expired.
+		require.Empty(t, m.buildReport(after).Released, name)
+
+		next, later := start()
+		require.Len(t, next.handleHeartbeat(later, heartbeat(21)).Rows, 1, "%s: the next process continues the term", name)
+
+		ended := serving
+		ended.State = state
+		m.handleWritten(after, after, &ended, 9, nil)
+		require.Len(t, m.buildReport(after).Released, 1, "%s: the end is recorded", name)
+	}
+}
