--- a/internal/sidecar/processtest/drill_test.go
+++ b/internal/sidecar/processtest/drill_test.go
@@ -51,12 +51,24 @@
 	startLock sync.Mutex
 )
 
-func startDrillFleet(t *testing.T) *drillFleet {
+// startDrillFleet starts a fleet whose hosts are in the zones, by default all in one, and waits until all keys are held.
+func startDrillFleet(t *testing.T, zones ...string) *drillFleet {
+	f := newDrillFleet(t, zones...)
+	f.startNodes()
+	return f
+}
+
+// newDrillFleet starts the targets of a fleet.
+func newDrillFleet(t *testing.T, zones ...string) *drillFleet {
 	f := &drillFleet{t: t, store: standin.NewStore(), history: standin.NewHistory()}
 	f.store.Configure(standin.Configuration(1, "p"))
 	number, directory := int(drillFleets.Add(1)), t.TempDir()
 	for i := range drillHosts {
-		f.addHost(fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, number%250, 10+i), directory)
+		zone := "z"
+		if i < len(zones) {
+			zone = zones[i]
+		}
+		f.addHost(fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, number%250, 10+i), zone, directory)
 	}
 	t.Cleanup(func() {
 		for _, h := range f.hosts {
@@ -70,14 +82,18 @@
 			}
 		}
 	})
+	return f
+}
+
+// startNodes starts all nodes and waits until all keys are held.
+func (f *drillFleet) startNodes() {
 	for _, h := range f.hosts {
 		f.start(h)
 	}
-	require.Eventually(t, func() bool { return f.history.HeldShare("keyed") == 1 }, 30*time.Second, 50*time.Millisecond, "all keys are held")
-	return f
+	require.Eventually(f.t, func() bool { return f.history.HeldShare("keyed") == 1 }, 30*time.Second, 50*time.Millisecond, "all keys are held")
 }
 
-func (f *drillFleet) addHost(ip, directory string) {
+func (f *drillFleet) addHost(ip, zone, directory string) {
 	startLock.Lock()
 	defer startLock.Unlock()
 	ports := freePorts(f.t, ip)
@@ -85,9 +101,9 @@
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { _ = endpoint.Close() })
 	h := &drillHost{ip: ip, file: filepath.Join(directory, ip+".yaml"), log: filepath.Join(directory, ip+".log"), target: ip + ":" + ports[0], heartbeats: ip + ":" + ports[4], endpoint: endpoint}
-	text := fmt.Sprintf(`{node: n%[1]s, host: %[1]s, availability_zone: z, service: keyed, target: "%[2]s", heartbeat_interval_ms: %[3]d, relay_ports: [%[4]s, %[4]s],
+	text := fmt.Sprintf(`{node: n%[1]s, host: %[1]s, availability_zone: %[10]s, service: keyed, target: "%[2]s", heartbeat_interval_ms: %[3]d, relay_ports: [%[4]s, %[4]s],
  listen: {entrance: "%[1]s:%[5]s", readiness: "%[1]s:%[6]s", heartbeats: "%[7]s", metrics: "%[1]s:%[8]s"}, store: {address: "%[9]s"}}
-`, ip, h.target, standin.HeartbeatIntervalMs, ports[1], ports[2], ports[3], h.heartbeats, ports[5], endpoint.Address())
+`, ip, h.target, standin.HeartbeatIntervalMs, ports[1], ports[2], ports[3], h.heartbeats, ports[5], endpoint.Address(), zone)
 	require.NoError(f.t, os.WriteFile(h.file, []byte(text), 0o600))
 	f.hosts = append(f.hosts, h)
 	f.startTarget(h, 1)
--- a/spec/tenure.pml
+++ b/spec/tenure.pml
@@ -38,6 +38,8 @@
 bit releasing;          /* the target has been told to release, and holds nothing when it reports that */
 bit released;           /* A's report that the range was released */
 bit restarted;
+bit late = 1;           /* a heartbeat without ranges, sent before all grants, is under way */
+bit named;              /* the target has an answer of the new process, which names an address of that process */
 
 /* Target B holds the range once its node has seen the row. */
 bit holdB;
@@ -96,6 +98,11 @@
 #else
 #define unknownHold LEASE
 #endif
+#ifdef NO_PROOF
+#define listsAll true
+#else
+#define listsAll (quiet == 0)
+#endif
 
 inline down(x) { if :: x > 0 -> x-- :: else fi }
 
@@ -121,10 +128,18 @@
 	:: report == 0 -> report = LEASE; isWord = 0
 	:: report > 0 && isWord && nodeTerm == 1 -> extend(since(report)); report = 0; isWord = 0
 	/* A heartbeat: the target holds the range for at most the rest of the lease. */
-	:: sees && lease > 0 && nodeTerm == 1 -> hold = lease; granted = lease
+	:: sees && lease > 0 && nodeTerm == 1 -> hold = lease; granted = lease; named = restarted
 	/* A sees the next owner and leaves the range out; the target then lets it go and reports that. */
 	:: moves && next && sees -> sees = 0; releasing = 1
 	:: moves && releasing -> releasing = 0; hold = 0; granted = 0; released = 1
+	/* The heartbeat of before arrives. A process that has had a later one discards it. */
+	:: moves && late && (!restarted || named) -> late = 0
+	:: moves && late && restarted && !named && next && !sees -> late = 0;
+		if :: listsAll -> released = 1 :: else fi
+	/* The new process answers a heartbeat without the range that moves, and the target lets it go. */
+	:: moves && restarted && !named && next && !sees -> named = 1; hold = 0
+	/* The next heartbeat comes to the named address, or the holds of the earlier process have expired. */
+	:: moves && restarted && next && !sees && !releasing && granted == 0 && (named || quiet == 0) -> released = 1
 	/* A sees that B owns the range. */
 	:: ownerB && sees -> sees = 0
 	/* The process starts again, reads the store, and has to read its record before it grants. */
