--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -16,7 +16,7 @@
 	Epoch uint64 `json:"round"`
 	// Term is the term of the target of the node, which the coordinator has not revoked; 0 if the poll confirms no
 	// term. ProcessID and LastReportSentAt are the ProcessID and SentAt of the last report that the coordinator
-	// received. CoordinatorLeaseMs is the time in milliseconds for which no other coordinator can act.
+	// received, 0 if there is none. CoordinatorLeaseMs is the time in milliseconds for which no other coordinator can act.
 	Term               uint64 `json:"term,omitempty"`
 	ProcessID          uint64 `json:"process,omitempty"`
 	LastReportSentAt   int64  `json:"reported,omitempty"`
--- a/internal/sidecar/coordinator.go
+++ b/internal/sidecar/coordinator.go
@@ -129,6 +129,19 @@
 	}
 }
 
+// recordReport records a report unless it may be overtaken. Polls of a node follow each other, so that the answer is that of the running process.
+// A report that was sent between polls can arrive after those of the next process, which no number orders.
+func (n *polledNode) recordReport(now clock.Instant, r *fleet.Report, answersPoll bool) bool {
+	if last := n.Report; last != nil {
+		sameProcess := r.ProcessID == last.ProcessID
+		if sameProcess && r.SentAt < last.SentAt || !sameProcess && !answersPoll {
+			return false
+		}
+	}
+	n.Report, n.LastSeen = r, now
+	return true
+}
+
 func newCoordinator(n *node) *coordinator {
 	c := &coordinator{node: n, startedAt: n.clock.Now(), revokedSince: map[keyspace.Owner]clock.Instant{}, revokeAttempted: map[keyspace.Owner]bool{},
 		tableWrittenAt: map[string]clock.Instant{}, writeRetryAt: map[string]clock.Instant{}}
@@ -162,7 +175,7 @@
 		c.viewSequence, c.viewRound = p.ViewSequence, p.Epoch
 	}
 	c.learnDepartures(now, p.Departures)
-	if p.DeparturesKnown {
+	if p.DeparturesKnown && p.ProcessID == c.processIncarnation { // A poll of an earlier process may lack what that has acknowledged since.
 		c.member.recordToldDepartures(now)
 	}
 	if p.Quarantined != nil {
@@ -423,8 +436,11 @@
 		p.ViewSequence = c.history.Sequence()
 		p.EncodedView = c.viewUpdate(v, n)
 	}
+	if n.Report != nil {
+		p.ProcessID, p.LastReportSentAt = n.Report.ProcessID, n.Report.SentAt
+	}
 	if n.Report != nil && (t.State == fleet.Serving || t.State == fleet.Leaving) && !c.revokeAttempted[t.Owner()] {
-		p.Term, p.ProcessID, p.LastReportSentAt = t.Term, n.Report.ProcessID, n.Report.SentAt
+		p.Term = t.Term
 		// The node counts the lease from when it sent the report, which was before LastSeen.
 		p.CoordinatorLeaseMs = c.leadershipRemaining(n.LastSeen).Milliseconds()
 	}
@@ -479,7 +495,7 @@
 			if r.View != nil {
 				c.adoptObjects(after, r.View)
 			}
-			c.handleReport(after, r, len(r.Released) > 0)
+			c.handleReport(after, r, true, len(r.Released) > 0)
 			if first {
 				c.pollAgain(after, t.Host)
 			}
@@ -499,14 +515,18 @@
 
 // handleReport records a report, which answers a poll or was sent between polls. An urgent report causes a new plan at once,
 // others wait for the next tick.
-func (c *coordinator) handleReport(now clock.Instant, r *fleet.Report, urgent bool) {
+func (c *coordinator) handleReport(now clock.Instant, r *fleet.Report, answersPoll, urgent bool) {
 	c.learnDepartures(now, r.Departures)
 	n := c.polledNodes[r.Host]
 	if !c.isLeader || n == nil {
 		return
 	}
-	n.Report, n.LastSeen = r, now
-	c.outage.recordOtherAnswer(now, time.Duration(r.StoreAgeMs)*time.Millisecond)
+	if n.recordReport(now, r, answersPoll) {
+		c.outage.recordOtherAnswer(now, time.Duration(r.StoreAgeMs)*time.Millisecond)
+	} else if r.ProcessID != n.Report.ProcessID {
+		n.pollSentAt, n.operatorStamp = 0, 0
+		c.pollAll(now) // The answer tells which process runs.
+	}
 	c.recordCrashes(now, r)
 	c.recordReportedOperatorState(now, r)
 	if own := r.Record; own != nil {
@@ -523,7 +543,7 @@
 // sendReport sends this node's report to the leader between polls.
 func (c *coordinator) sendReport(r *fleet.Report) {
 	if c.isLeader {
-		c.handleReport(c.clock.Now(), r, true)
+		c.handleReport(c.clock.Now(), r, true, true)
 		return
 	}
 	if c.lastPoll.Relay == "" {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -189,7 +189,7 @@
 			return nil, err
 		}
 		n.post(func(now clock.Instant) {
-			n.coordinator.handleReport(now, r, true)
+			n.coordinator.handleReport(now, r, false, true)
 			reply <- &fleet.Report{Host: n.settings.Host, CoordinatorEpoch: n.coordinator.leadershipRound(), Departures: n.departures.list()}
 		})
 	case methodOperatorState:
--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -265,7 +265,7 @@
 		c.isLeader, c.operatorUnread, c.history = true, unread, fleet.NewHistory()
 		node := &polledNode{}
 		c.polledNodes = map[string]*polledNode{"other": node}
-		c.handleReport(n.clock.Now(), &fleet.Report{Host: "other", ConfigVersion: 9, EvacuatedZones: []string{"z"}, EvacuatedRevision: 20}, false)
+		c.handleReport(n.clock.Now(), &fleet.Report{Host: "other", ConfigVersion: 9, EvacuatedZones: []string{"z"}, EvacuatedRevision: 20}, true, false)
 		_, evacuated := n.state.evacuatedSince("z")
 		require.Equal(t, unread, evacuated)
 		p := &fleet.Poll{}
@@ -289,7 +289,7 @@
 		reader.coordinator.nextOperatorFetch = reader.clock.Now().Add(time.Hour) // It has just read the objects.
 		r, err := fleet.DecodeReport(reader.coordinator.handlePoll(reader.clock.Now(), poll).Encode())
 		require.NoError(t, err)
-		leader.handleReport(leader.clock.Now(), r, false)
+		leader.handleReport(leader.clock.Now(), r, true, false)
 		refused.Report = &fleet.Report{Host: "refused", ConfigVersion: 1}
 		p := &fleet.Poll{}
 		leader.announceConfig(p, refused)
