--- a/internal/sidecar/halfclose_test.go
+++ b/internal/sidecar/halfclose_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -79,3 +80,21 @@
 	require.Positive(t, closed, "some left before the answer")
 	require.Positive(t, answered, "an answer that is ready is delivered")
 }
+
+// Guards against a success that no target gave: net/http answers OPTIONS * by itself.
+func TestOptionsOfTheServerGetsNoFalseSuccess(t *testing.T) {
+	c, err := net.Dial("tcp", newEntranceServer(t, 0))
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(2*time.Second)))
+	reader := bufio.NewReader(c)
+	for i := range 3 {
+		_, err = fmt.Fprintf(c, "OPTIONS * HTTP/1.1\r\nHost: x\r\nRequest-Id: %d\r\nDeadline-Ms: 1000\r\n\r\n", i)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNotFound, response.StatusCode)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+	}
+}
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -204,7 +204,8 @@
 	}
 }
 
-// newHTTPServer returns a server with the limits that all of the node's listeners share.
+// newHTTPServer returns a server with the limits that all of the node's listeners share. All requests reach the handler: net/http would answer
+// OPTIONS * with a success of its own.
 func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withConn}
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withConn, DisableGeneralOptionsHandler: true}
 }
