--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -308,6 +308,9 @@
 
 // writeResponse forwards the target's response.
 func (e *entrance) writeResponse(w http.ResponseWriter, x *exchange, res *result, took time.Duration) {
+	if res.stream == nil && x.conn != nil && x.conn.bodyPending.Load() {
+		x.closeUnread(w) // Otherwise net/http waits for the read of the body, which lasts as long as the caller sends nothing.
+	}
 	header := w.Header()
 	for name, values := range res.header {
 		header[name] = values
--- a/internal/sidecar/halfclose_test.go
+++ b/internal/sidecar/halfclose_test.go
@@ -47,8 +47,14 @@
 	server := newHTTPServer(n.protectHandler("entrance", n.entrance))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server.ConnState = trackHeads(n.entrance.idle.trackState)
-	go func() { _ = server.Serve(credentialListener{sniffListener{l, n.state.maxHead}, n.state.hasTenants}) }() // Serve returns after Close.
+	trackIdle := trackHeads(n.entrance.idle.trackState)
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		trackIdle(c, state)
+		n.callers.trackState(c, state)
+	}
+	go func() {
+		_ = server.Serve(credentialListener{sniffListener{callerListener{l, n.callers}, n.state.maxHead}, n.state.hasTenants}) // Serve returns after Close.
+	}()
 	t.Cleanup(func() { _ = server.Close() })
 	return n, l.Addr().String()
 }
@@ -98,3 +104,44 @@
 		require.NoError(t, err)
 	}
 }
+
+// Guards against an answer that is kept back until the caller's body is in or its connection counts as stalled: the target has answered before it has
+// read the body, and the caller waits for the answer before it sends the rest.
+func TestAnswerDoesNotWaitForTheRestOfTheBody(t *testing.T) {
+	n, address := serveEntrance(t, `{"version":"r1","routes":{"a":{"host":"x","path_prefix":"/","kind":"unsafe","timeout_ms":1000,
+		"target_latency_ms":500,"service":"s","max_attempts":2}},"services":{"s":{}},"limits":{}}`, func(*http.Request) {})
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(50 * time.Millisecond) // What the caller has sent reaches the target.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Server-Signature", "s")
+		w.Header().Set("Content-Length", "8")
+		w.WriteHeader(http.StatusForbidden)
+		_, _ = io.WriteString(w, "rejected")
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.Copy(io.Discard, r.Body)
+	}))
+	defer target.Close()
+	n.upstream = upstream.NewClient(target.Listener.Addr().String())
+	defer n.upstream.Reset()
+	const length = 2 << 20
+	for _, heldBack := range []int{1000, 1 << 20} {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		defer c.Close()
+		began := time.Now()
+		_, err = fmt.Fprintf(c, "POST /y HTTP/1.1\r\nHost: x\r\nRequest-Id: %d\r\nDeadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n", heldBack, length)
+		require.NoError(t, err)
+		_, err = c.Write(make([]byte, length-heldBack))
+		require.NoError(t, err)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusForbidden, response.StatusCode)
+		require.Equal(t, "s", response.Header.Get("Server-Signature"))
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, "rejected", string(body))
+		require.Less(t, time.Since(began), 1500*time.Millisecond, "the route's time and half a second, %d bytes held back", heldBack)
+	}
+}
