--- a/internal/sidecar/entrance.go
+++ b/internal/sidecar/entrance.go
@@ -165,8 +165,16 @@
 // ServeHTTP implements http.Handler.
 func (e *entrance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := e.clock.Now()
+	conn, sniffed := r.Context().Value(connKey{}).(*sniffConn)
+	if sniffed {
+		conn.handled.Add(1)
+	}
 	if e.state.draining.Load() {
-		w.Header().Set("Connection", "close")
+		if sniffed {
+			w = &lastResponseWriter{ResponseWriter: w, conn: conn}
+		} else {
+			w.Header().Set("Connection", "close")
+		}
 	}
 	if callerLeft(r.Context()) { // The request waited to be read for longer than its caller waits.
 		e.metrics.countRefusal("entrance", "caller_left")
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -59,8 +59,9 @@
 	lastFraming bool
 	// remaining is the rest of the body or of the chunk.
 	remaining int64
-	// fault is the headFault of a request, read by the goroutines of handlers.
+	// fault is the headFault of a request, read by the goroutines of handlers. begun counts the requests of which a byte was read.
 	fault atomic.Int32
+	begun atomic.Int64
 }
 
 func (f *requestFraming) fail(fault headFault) {
@@ -100,6 +101,7 @@
 			return nil
 		}
 		f.inFields, f.length, f.chunked, f.http11, f.lastFraming = false, -1, false, false, false
+		f.begun.Add(1)
 	}
 	end := bytes.IndexByte(data, '\n')
 	part := data
--- a/internal/sidecar/halfclose_test.go
+++ b/internal/sidecar/halfclose_test.go
@@ -145,3 +145,38 @@
 		require.Less(t, time.Since(began), 1500*time.Millisecond, "the route's time and half a second, %d bytes held back", heldBack)
 	}
 }
+
+// Guards against a request that a stopping node has read behind another one and does not answer, because the answer before it closes the connection.
+func TestStoppingNodeAnswersRequestsReadBehindOthers(t *testing.T) {
+	started := make(chan struct{}, 8)
+	n, address := serveEntrance(t, `{"version":"r1","routes":{"a":{"host":"x","path_prefix":"/","kind":"unsafe","timeout_ms":1000,
+		"target_latency_ms":500,"service":"s","max_attempts":2}},"services":{"s":{}},"limits":{}}`, func(*http.Request) {
+		started <- struct{}{}
+		time.Sleep(30 * time.Millisecond)
+	})
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	requests := ""
+	for i := range 3 {
+		requests += fmt.Sprintf("POST /y HTTP/1.1\r\nHost: x\r\nRequest-Id: %d\r\nDeadline-Ms: 1000\r\nContent-Length: 4\r\n\r\nbody", i)
+	}
+	_, err = io.WriteString(c, requests)
+	require.NoError(t, err)
+	<-started
+	n.state.draining.Store(true)
+	n.entrance.idle.closeIdle()
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(3*time.Second)))
+	reader := bufio.NewReader(c)
+	for i := range 3 {
+		require.True(t, n.entrance.idle.expectsRequests(), "answer %d is due", i)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err, "answer %d", i)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, fmt.Sprint(i), response.Header.Get("Request-Id"))
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.Equal(t, i == 2, response.Close, "the last answer closes the connection")
+	}
+	require.Eventually(t, func() bool { return !n.entrance.idle.expectsRequests() }, time.Second, time.Millisecond)
+}
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -49,6 +49,8 @@
 	net.Conn
 	framing     requestFraming
 	credentials credentialFilter
+	// handled counts the requests that a handler has got.
+	handled atomic.Int64
 }
 
 // Read reads from the connection and follows the framing of what was read.
@@ -61,6 +63,11 @@
 	return n, err
 }
 
+// requestFollows reports whether a byte was read of a request that no handler has got yet.
+func (c *sniffConn) requestFollows() bool {
+	return c.framing.fault.Load() == 0 && c.framing.begun.Load() > c.handled.Load()
+}
+
 type connKey struct{}
 
 // withConn adds the connection to the context of its requests.
@@ -176,6 +183,11 @@
 	if len(i.active) > 0 {
 		return true
 	}
+	for c := range i.idleSince { // net/http calls a connection idle between two requests that it has read.
+		if requestFollows(c) {
+			return true
+		}
+	}
 	limit := time.Now().Add(-firstRequestWait)
 	for _, since := range i.newSince {
 		if since.After(limit) {
@@ -185,6 +197,22 @@
 	return false
 }
 
+// closeIdle closes the connections on which no request is expected.
+func (i *idleConns) closeIdle() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c := range i.idleSince {
+		if !requestFollows(c) {
+			_ = c.Close() // No request is in flight on it.
+		}
+	}
+}
+
+func requestFollows(c net.Conn) bool {
+	s, ok := c.(*sniffConn)
+	return ok && s.requestFollows()
+}
+
 // closeExpired closes connections that exceed the idle timeout, until the context ends.
 func (i *idleConns) closeExpired(ctx context.Context) {
 	for sleep(ctx, idleSweepInterval) {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -78,15 +78,45 @@
 }
 
 // drainEntrance accepts no more callers and answers those whom it has accepted. Shutdown alone would close connections without an answer
-// whose request it has read after its beginning.
+// whose request it has read after its beginning, and a server without keep-alives those whose next request it has read with the last one.
 func (n *node) drainEntrance(ctx context.Context, s *servers) {
 	if err := s.entranceListener.Close(); err != nil {
 		event.SidecarStopping.On(n.log).Str("step", "close the entrance").Err(err).Send()
 	}
-	s.entrance.SetKeepAlivesEnabled(false)
+	n.entrance.idle.closeIdle()
 	n.entrance.idle.waitForRequests(ctx)
+	s.entrance.SetKeepAlivesEnabled(false)
+}
+
+// lastResponseWriter closes the connection after the response unless a byte of a further request was read.
+type lastResponseWriter struct {
+	http.ResponseWriter
+	conn    *sniffConn
+	started bool
 }
 
+// WriteHeader implements http.ResponseWriter.
+func (w *lastResponseWriter) WriteHeader(status int) {
+	if !w.started && status >= http.StatusOK {
+		w.started = true
+		if !w.conn.requestFollows() {
+			w.Header().Set("Connection", "close")
+		}
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *lastResponseWriter) Write(data []byte) (int, error) {
+	if !w.started {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(data)
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *lastResponseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // finishRequests waits for the pending requests of the host's callers as long as the platform allows, and then responds that their
 // outcome is unknown, because a closed connection would tell the caller even less.
 func (n *node) finishRequests(ctx context.Context, s *servers) error {
