--- a/internal/sidecar/processtest/late_test.go
+++ b/internal/sidecar/processtest/late_test.go
@@ -23,8 +23,9 @@
 	number, someRanges, leaves := 1+random.IntN(2), random.IntN(2) == 0, random.IntN(3) == 0
 	h.process.IgnoreHeartbeatURL = random.IntN(2) == 0
 	restart, lateness, lateBefore := random.IntN(4), within(300*time.Millisecond, 3*time.Second), random.IntN(4) > 0
-	t.Logf("%d late heartbeats, with ranges: %v, the target leaves: %v, restart %d, later ones are %v late, the target ignores heartbeat_url: %v",
-		number, someRanges, leaves, restart, lateness, h.process.IgnoreHeartbeatURL)
+	takenBack := rand.New(rand.NewPCG(seed, 1)).IntN(3) == 0
+	t.Logf("%d late heartbeats, with ranges: %v, the target leaves: %v, restart %d, later ones are %v late, the target ignores heartbeat_url: %v, the zone is taken back: %v",
+		number, someRanges, leaves, restart, lateness, h.process.IgnoreHeartbeatURL, takenBack)
 	if !someRanges {
 		h.process.HoldUpHeartbeats(number)
 	}
@@ -47,6 +48,9 @@
 	}
 	time.Sleep(within(20*time.Millisecond, 250*time.Millisecond))
 	h.process.DelayHeartbeats(lateness)
+	if takenBack { // A release may be on its way to the leader.
+		f.store.TakeBack("a")
+	}
 	switch pause := within(100*time.Millisecond, 800*time.Millisecond); restart {
 	case 0:
 		require.NoError(t, h.cmd.Process.Signal(syscall.SIGSTOP))
