--- a/internal/sidecar/processaddress.go
+++ b/internal/sidecar/processaddress.go
@@ -39,11 +39,12 @@
 	}
 }
 
-// listenForOwnHeartbeats serves the address of this process. Without it the node waits until the earlier grants have expired.
+// listenForOwnHeartbeats serves the address of this process. Without it, or where the settings name no address that a target can be sent back to,
+// the node waits until the earlier grants have expired.
 func (n *node) listenForOwnHeartbeats(server *http.Server) {
 	host, _, err := net.SplitHostPort(n.settings.Listen.Heartbeats)
-	if err != nil {
-		return // The settings have been validated.
+	if ip := net.ParseIP(host); err != nil || host == "" || ip != nil && ip.IsUnspecified() {
+		return
 	}
 	own := newProcessAddress(host, n.clock.Now())
 	listener, err := net.Listen("tcp", own.address)
--- a/internal/sidecar/processaddress_test.go
+++ b/internal/sidecar/processaddress_test.go
@@ -73,3 +73,13 @@
 	require.Equal(t, 1, released())
 	require.NotContains(t, post(settingsAddress.Addr().String(), "23"), "heartbeat_url")
 }
+
+// Guards against a target that is sent back to an address that no target reaches, because the node listens on all of its host's.
+func TestProcessAddressNeedsAReachableAddress(t *testing.T) {
+	for _, address := range []string{":7000", "0.0.0.0:7000", "[::]:7000"} {
+		n := newIdleNode(t)
+		n.settings.Listen.Heartbeats = address
+		n.listenForOwnHeartbeats(newHTTPServer(platform.HeartbeatHandler(n.member, true)))
+		require.Empty(t, n.member.ownAddress.address, address)
+	}
+}
