--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -310,10 +310,11 @@
 func TestTargetThatStopsListeningHasNotEnded(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	release := make(chan struct{})
+	running, release := make(chan struct{}), make(chan struct{})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Id", r.Header.Get("Id"))
 		if r.Header.Get("Id") != "quick" {
+			close(running)
 			<-release
 		}
 	})}
@@ -331,7 +332,8 @@
 		_, err := c.Do(t.Context(), get("long", false))
 		answered <- err
 	}()
-	require.Eventually(t, func() bool { return !c.activity.ended(time.Now()) }, time.Second, time.Millisecond)
+	<-running // A server that stops before it has read the request closes the idle connection, and the request ends.
+	require.False(t, c.activity.ended(time.Now()))
 	stopped := make(chan error, 1)
 	go func() { stopped <- server.Shutdown(context.Background()) }()
 	require.Eventually(t, refuses, time.Second, time.Millisecond)
