--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -364,11 +364,6 @@
 	return m.targetExited || silent && m.holder.GrantsEnded(now)
 }
 
-// termEndRecorded reports whether the store says that the term has ended, so that no later process continues it.
-func (m *member) termEndRecorded() bool {
-	return m.recordLoaded && (m.record == nil || m.record.State != fleet.Serving || m.record.Owner() != m.holder.Owner())
-}
-
 // beginTerm starts or continues the term in the record.
 func (m *member) beginTerm(now, checked clock.Instant) {
 	r := m.record
@@ -612,7 +607,7 @@
 		LeaseMs:          m.holder.Remaining(now).Milliseconds(),
 		NextHeartbeatMs:  lastAt.Add(m.settings.HeartbeatInterval()).Sub(now).Milliseconds(),
 		ColdRemainingMs:  m.gate.dispatch.ColdRemaining().Milliseconds(),
-		Released:         m.holder.Released(now, rows, m.termEndRecorded()),
+		Released:         m.holder.Released(now, rows),
 		Record:           m.record,
 		Departures:       m.departures.list(),
 	}
@@ -635,7 +630,7 @@
 
 // reportReleases reports to the leader at once when the target has released more ranges.
 func (m *member) reportReleases(now clock.Instant) {
-	released := len(m.holder.Released(now, m.ownRows(), m.termEndRecorded()))
+	released := len(m.holder.Released(now, m.ownRows()))
 	if released > m.releasedCount {
 		m.coordinator.sendReport(m.buildReport(now))
 	}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -375,12 +375,11 @@
 }
 
 // Released returns the rows that the table still assigns to this owner, but of which the target holds
-// nothing any more: moving rows, and all rows if the target is draining or the term has ended. The latter only count if endRecorded is set:
-// the store says that the term has ended. Otherwise a later process may continue it and grant the rows again under the same fencing tokens.
-func (l *TargetLease) Released(now clock.Instant, rows []keyspace.Row, endRecorded bool) []fleet.Release {
+// nothing any more: moving rows, and all rows if the target is draining or the term has ended.
+func (l *TargetLease) Released(now clock.Instant, rows []keyspace.Row) []fleet.Release {
 	var released []fleet.Release
 	for _, r := range rows {
-		if r.Owner != l.owner || r.NextOwner.IsZero() && (l.valid && !l.draining || !endRecorded) {
+		if r.Owner != l.owner || l.valid && !l.draining && r.NextOwner.IsZero() {
 			continue
 		}
 		if l.mayHold(now, r.Range) {
