--- a/internal/sidecar/processtest/drill_test.go
+++ b/internal/sidecar/processtest/drill_test.go
@@ -273,22 +273,25 @@
 
 // Guards against fencing tokens that are given out twice, keys with two owners, and keys without one, after the store came back from a copy. Set
 // DRILLS to the number of drills and DRILL_SEED to the first seed.
-func TestDrills(t *testing.T) {
-	drills, seed := 8, uint64(11)
-	if text := os.Getenv("DRILLS"); text != "" {
+func TestDrills(t *testing.T) { playSeeds(t, "DRILLS", "DRILL_SEED", 11, playDrill) }
+
+// playSeeds plays eight seeds beside each other from the first one on. The environment may set their number and the first seed.
+func playSeeds(t *testing.T, countVariable, seedVariable string, seed uint64, play func(*testing.T, uint64)) {
+	count := 8
+	if text := os.Getenv(countVariable); text != "" {
 		n, err := strconv.Atoi(text)
 		require.NoError(t, err)
-		drills = n
+		count = n
 	}
-	if text := os.Getenv("DRILL_SEED"); text != "" {
+	if text := os.Getenv(seedVariable); text != "" {
 		n, err := strconv.ParseUint(text, 10, 64)
 		require.NoError(t, err)
 		seed = n
 	}
-	for i := range drills {
+	for i := range count {
 		t.Run(fmt.Sprint("seed ", seed+uint64(i)), func(t *testing.T) {
 			t.Parallel()
-			playDrill(t, seed+uint64(i))
+			play(t, seed+uint64(i))
 		})
 	}
 }
--- a/internal/sidecar/processtest/late_test.go
+++ b/internal/sidecar/processtest/late_test.go
@@ -1,10 +1,7 @@
 package processtest
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -77,21 +74,5 @@
 // Guards against keys with two owners because heartbeats that were sent before the last grant of a process are the first that the next process gets.
 // Set LATE_HEARTBEATS to the number of plays and LATE_SEED to the first seed.
 func TestLateHeartbeatsAfterARestart(t *testing.T) {
-	plays, seed := 8, uint64(10)
-	if text := os.Getenv("LATE_HEARTBEATS"); text != "" {
-		n, err := strconv.Atoi(text)
-		require.NoError(t, err)
-		plays = n
-	}
-	if text := os.Getenv("LATE_SEED"); text != "" {
-		n, err := strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
-		seed = n
-	}
-	for i := range plays {
-		t.Run(fmt.Sprint("seed ", seed+uint64(i)), func(t *testing.T) {
-			t.Parallel()
-			playLateHeartbeats(t, seed+uint64(i))
-		})
-	}
+	playSeeds(t, "LATE_HEARTBEATS", "LATE_SEED", 10, playLateHeartbeats)
 }
